--- /dev/null
+++ b/crates/policy/tests/fleet/mod.rs
@@ -0,0 +1,111 @@
+//! A small fleet for traces: hosts, proxies and a clock, and the decisions in short words.
+
+use amberarch_core::*;
+use amberarch_policy::Steward;
+
+pub struct Fleet {
+    pub steward: Steward,
+    pub trace: String,
+    pub now: f64,
+    zones: u16,
+}
+
+pub fn product(effect: Effect) -> Product {
+    let (scope, own_zone, writes) = (Scope::All, false, effect != Effect::InquiryLike);
+    let (sla, expiry, window, revenue, late_part) = (1_000.0, 3_000.0, 5_000.0, 1.0, 0.2);
+    Product { sla, expiry, effect, scope, window, revenue, late_part, own_zone, writes }
+}
+
+impl Fleet {
+    /// Hosts are spread over the zones in turn.
+    pub fn new(zones: u16, hosts: u32) -> Fleet {
+        Fleet::with(zones, hosts, vec![product(Effect::InquiryLike)], LevelKind::Off)
+    }
+
+    pub fn with(zones: u16, hosts: u32, products: Vec<Product>, levels: LevelKind) -> Fleet {
+        let post = Post { seed: 1, zone: ZoneId(0), zones, slices: 0, may_probe: true };
+        let channel = Channel {
+            lines_per_s: 1_000.0,
+            head: 3.0,
+            backlog: 300.0,
+            messages: 30,
+            messages_over: 10_000.0,
+            transit: 200.0,
+            transit_worst: 500.0,
+        };
+        let usual_tries = Tries::AfterProof;
+        let sidecars = Sidecars { count: 4, bare_for: 3_000.0, levels, usual_tries, try_wait: 0.8 };
+        let warmup = Warmup { from: 0.2, within: 20_000.0, multiple: 3.0, fall_after: 2_000.0 };
+        let roster = Roster { asked: false, ask_within: 1e4, grace: 2e3, removal_not_binding: false };
+        let sums = Sums { every: 1_000.0, lines_per_s: 100.0 };
+        let steward = Steward::new(post, products, channel, sidecars, warmup, roster, sums);
+        let mut fleet = Fleet { steward, trace: String::new(), now: 1_000.0, zones };
+        let entries = (0..hosts).map(|host| fleet.entry(host)).collect();
+        fleet.say(&[Event::List { news: ListNews::Restored, entries }]);
+        fleet
+    }
+
+    pub fn entry(&self, host: u32) -> Listed {
+        Listed {
+            host: HostId(host),
+            weight: 1.0,
+            zone: ZoneId((host % u32::from(self.zones)) as u16),
+            pod: PodId(0),
+            kind: KindId(0),
+            born: None,
+            standing: Standing::On,
+        }
+    }
+
+    pub fn list(&mut self, host: u32, standing: Standing, born: Option<f64>) {
+        let entry = Listed { standing, born, ..self.entry(host) };
+        self.say(&[Event::List { news: ListNews::Changes, entries: vec![entry] }]);
+    }
+
+    pub fn join(&mut self, proxy: u16) {
+        let zone = ZoneId(proxy % self.zones);
+        self.say(&[Event::Joined { proxy: ProxyId(proxy), zone, txns_per_s: 10.0, fresh: true }]);
+    }
+
+    pub fn probes(&mut self, host: u32, outcomes: &[Outcome]) {
+        for outcome in outcomes {
+            self.run(5);
+            self.note(&format!("{outcome:?} host{host}").to_lowercase());
+            let (host, report) = (HostId(host), LoadReport::default());
+            self.say(&[Event::Probed { host, outcome: *outcome, took: 2.0, report }]);
+        }
+    }
+
+    /// Lets so many ticks pass.
+    pub fn run(&mut self, ticks: u32) {
+        for _ in 0..ticks {
+            self.now += 200.0;
+            self.say(&[Event::Due { timer: TimerId(0) }]);
+        }
+    }
+
+    pub fn note(&mut self, text: &str) {
+        self.trace += &format!("{} {text}\n", self.now);
+    }
+
+    pub fn say(&mut self, events: &[Event]) {
+        for order in self.steward.decide(self.now, events) {
+            let text = match order {
+                Order::Share { tbl, host, weight } => {
+                    format!("t{} host{} weight {weight}", tbl.0, host.0)
+                }
+                Order::Withdraw { host, out: true } => format!("withdraw host{}", host.0),
+                Order::Withdraw { host, out: false } => format!("restore host{}", host.0),
+                Order::Bind { proxy, tbl, products } => {
+                    format!("bind proxy{} to t{} for {:b}", proxy.0, tbl.0, products.0)
+                }
+                Order::Admit { tbl, products, level, tries } => {
+                    format!("admit t{} for {:b}: {level} {tries:?}", tbl.0, products.0)
+                }
+                Order::Watch { on } => format!("watch {on}"),
+                _ => continue,
+            };
+            self.note(&text);
+        }
+    }
+}
