Levels zone by zone from settled tries; cold hosts wait while tries go unsettled

Now a zone whose good answers are slow or whose tries are voided alike at all hosts lets in what it settles, sheds least revenue per work first and makes no second tries; a cold host's step shrinks with the squared settled part.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,11 +24,12 @@
 }
 
 impl Tally {
-    fn add(&mut self, other: &Tally) {
+    fn plus(mut self, other: Tally) -> Tally {
         self.tries += other.tries;
         self.voided += other.voided;
         self.took += other.took;
         self.over += other.over;
+        self
     }
     fn voided_part(&self) -> f64 {
         self.voided / self.tries.max(1.0)
@@ -52,20 +53,16 @@
 }
 
 impl Ring {
-    fn add(&mut self, now: f64, tally: &Tally) {
+    fn add(&mut self, now: f64, tally: Tally) {
         let number = (now / BUCKET) as i64;
         let slot = &mut self.0[number.rem_euclid(BUCKETS as i64) as usize];
-        if slot.0 != number {
-            *slot = (number, Tally::default());
-        }
-        slot.1.add(tally);
+        let sum = if slot.0 == number { slot.1 } else { Tally::default() };
+        *slot = (number, sum.plus(tally));
     }
     fn last(&self, now: f64, span: f64) -> Tally {
         let (newest, oldest) = ((now / BUCKET) as i64, ((now - span) / BUCKET) as i64);
-        let mut sum = Tally::default();
-        let within = |slot: &&(i64, Tally)| slot.0 > oldest && slot.0 <= newest;
-        self.0.iter().filter(within).for_each(|slot| sum.add(&slot.1));
-        sum
+        let within = self.0.iter().filter(|slot| slot.0 > oldest && slot.0 <= newest);
+        within.fold(Tally::default(), |sum, slot| sum.plus(slot.1))
     }
 }
 
@@ -74,6 +71,8 @@
 /// The guide's examples: three failures in a row gate, two passes in a row lift.
 const FAILS_TO_GATE: u32 = 3;
 const PASSES_TO_LIFT: u32 = 2;
+/// The design's start value, kept.
+const PROBE_PERIOD: f64 = 1_000.0;
 
 #[derive(Clone, Copy, PartialEq, Debug)]
 enum Verdict {
@@ -82,6 +81,30 @@
     Neither,
 }
 
+/// A light probe says that a process runs, no more: good real answers outrank one that timed out
+/// (a busy host), and failing real txns outrank one that passed (it errs or hangs beside it).
+fn judge_probe(outcome: Outcome, real: &Tally) -> Verdict {
+    match outcome {
+        Outcome::Answered if real.tries >= 4.0 && real.voided_part() > 0.5 => Verdict::Neither,
+        Outcome::Answered => Verdict::Pass,
+        Outcome::TimedOut if real.good() >= 3.0 && real.voided_part() < 0.5 => Verdict::Neither,
+        Outcome::Errored | Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset => Verdict::Fail,
+        Outcome::Full | Outcome::Unknown => Verdict::Neither,
+    }
+}
+
+/// A window of late sums as one more probe. Only what stands out from the other hosts counts: if
+/// all worsen together it is load, the path or something shared.
+fn judge_sums(real: &Tally, usual_part: f64) -> Verdict {
+    let part = real.voided_part();
+    let bad = real.tries >= 5.0 && part > 0.3 && part > usual_part + 0.25;
+    if bad {
+        Verdict::Fail
+    } else {
+        Verdict::Neither
+    }
+}
+
 #[derive(Default)]
 struct Gate {
     fails: u32,
@@ -99,67 +122,31 @@
     fn count(&mut self, now: f64, verdict: Verdict, weighing: u32, may_shut: bool) {
         match verdict {
             Verdict::Neither => {}
-            Verdict::Pass => {
-                self.fails = 0;
-                self.passes += 1;
-            }
-            Verdict::Fail => {
-                self.passes = 0;
-                self.fails += weighing;
-                if self.fails >= FAILS_TO_GATE && !self.shut && may_shut {
-                    self.shut = true;
-                    self.shut_at = now;
-                    // A gate that shuts again this soon after a lift is a flapper's.
-                    let soon = now < self.trial_until + 15_000.0;
-                    self.relapses = if soon { self.relapses + 1 } else { 0 };
-                }
-            }
+            Verdict::Pass => (self.fails, self.passes) = (0, self.passes + 1),
+            Verdict::Fail => (self.fails, self.passes) = (self.fails + weighing, 0),
+        }
+        if self.fails >= FAILS_TO_GATE && !self.shut && may_shut {
+            // A gate that shuts again this soon after a lift is a flapper's.
+            let soon = now < self.trial_until + 15_000.0;
+            self.relapses = if soon { self.relapses + 1 } else { 0 };
+            (self.shut, self.shut_at) = (true, now);
         }
     }
 
     /// Guards against a host that passes probes but fails txns, and against flapping: each relapse
-    /// doubles the wait. It holds back a host that is well again by as much.
-    fn lift(&mut self, now: f64, trial: f64) -> bool {
+    /// doubles the wait, and it comes back in part. It holds back by as much a host that is well.
+    fn lift(&mut self, now: f64, trial: f64) {
         let first = if self.by_sums { 8_000.0 } else { 0.0 };
         let again = if self.relapses > 0 { 4_000.0 * 2f64.powi(self.relapses.min(3)) } else { 0.0 };
-        if !self.shut || self.passes < PASSES_TO_LIFT || now < self.shut_at + f64::max(first, again) {
-            return false;
+        if self.shut && self.passes >= PASSES_TO_LIFT && now >= self.shut_at + f64::max(first, again) {
+            let in_part = self.by_sums || self.relapses > 0;
+            self.trial_until = now + if in_part { trial } else { 0.0 };
+            (self.shut, self.by_sums, self.fails) = (false, false, 0);
         }
-        // At once to the listed weight, as designed; in part where passes have misled before.
-        let in_part = self.by_sums || self.relapses > 0;
-        self.trial_until = now + if in_part { trial } else { 0.0 };
-        self.shut = false;
-        self.by_sums = false;
-        self.fails = 0;
-        true
     }
 }
 
-/// A light probe says that a process runs, no more: good real answers outrank one that timed out
-/// (a busy host), and failing real txns outrank one that passed (it errs or hangs beside it).
-fn judge_probe(outcome: Outcome, real: &Tally) -> Verdict {
-    let serves = real.good() >= 3.0 && real.voided_part() < 0.5;
-    let errs = real.tries >= 4.0 && real.voided_part() > 0.5;
-    match outcome {
-        Outcome::Answered if errs => Verdict::Neither,
-        Outcome::Answered => Verdict::Pass,
-        Outcome::TimedOut if serves => Verdict::Neither,
-        Outcome::Errored | Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset => Verdict::Fail,
-        Outcome::Full | Outcome::Unknown => Verdict::Neither,
-    }
-}
-
-/// A window of late sums as one more probe. Only what stands out from the other hosts counts: if
-/// all worsen together it is load, the path or something shared.
-fn judge_sums(real: &Tally, usual_part: f64) -> Verdict {
-    if real.tries >= 5.0 && real.voided_part() > 0.3 && real.voided_part() > usual_part + 0.25 {
-        Verdict::Fail
-    } else {
-        Verdict::Neither
-    }
-}
-
-// ---------------------------------------------------------------- hosts
+// ---------------------------------------------------------------- hosts and proxies
 
 struct Host {
     zone: ZoneId,
@@ -167,30 +154,27 @@
     standing: Standing,
     cold_since: Option<f64>,
     gate: Gate,
-    met: Ring,
+    met: BTreeMap<ZoneId, Ring>,
     summed_at: f64,
     probed_at: f64,
 }
 
 impl Host {
+    fn met(&self, now: f64, span: f64) -> Tally {
+        self.met.values().fold(Tally::default(), |sum, ring| sum.plus(ring.last(now, span)))
+    }
+
     /// The part of its listed weight that a host may carry; none: it stays out. A cold host comes
-    /// back in few steps, each below what the slowest warming allows at that age.
-    fn part(&self, now: f64, warmup: &Warmup) -> Option<f64> {
-        let cold = self.cold_since.map_or(1.0, |since| (now - since) / warmup.within);
-        let step = match cold {
-            age if age < 0.1 => return None,
-            age if age < 0.4 => 0.25,
-            age if age < 0.75 => 0.5,
-            _ => 1.0,
-        };
+    /// back in few steps, each below what the slowest warming allows at that age. Where the fleet
+    /// settles only some of what is sent, as much more would be sent to it: it waits by that much.
+    fn part(&self, now: f64, warmup: &Warmup, calm: f64) -> Option<f64> {
+        let age = self.cold_since.map_or(1.0, |since| (now - since) / warmup.within);
+        let able = if age < 1.0 { (warmup.from + (1.0 - warmup.from) * age) * calm } else { 1.0 };
+        let step = [(1.0, 0.9), (0.5, 0.5), (0.25, 0.25)].into_iter().find(|(_, needs)| able >= *needs)?.0;
         let trial = if now < self.gate.trial_until { 0.25 } else { 1.0 };
         Some(f64::min(step, trial))
     }
 
-    fn open(&self, now: f64, warmup: &Warmup) -> bool {
-        self.standing == Standing::On && !self.gate.shut && self.part(now, warmup).is_some()
-    }
-
     fn warm(&self, now: f64, warmup: &Warmup) -> bool {
         self.cold_since.is_none_or(|since| now - since >= warmup.within)
     }
@@ -203,6 +187,142 @@
     messages: Ring,
 }
 
+impl Proxy {
+    fn rate(&self, now: f64) -> f64 {
+        let sums = self.came.values().map(|ring| ring.last(now, 8_000.0));
+        // A product of which none came has no line: the longest time covered holds for all.
+        let (tries, over) = sums.fold((0.0, 0.0), |(t, o), sum| (t + sum.tries, f64::max(o, sum.over)));
+        if over > 0.0 {
+            1_000.0 * tries / over
+        } else {
+            self.joined_rate
+        }
+    }
+    fn rate_of(&self, now: f64, product: ProductId) -> f64 {
+        let sum = self.came.get(&product).map(|ring| ring.last(now, 4_000.0)).unwrap_or_default();
+        1_000.0 * sum.tries / sum.over.max(1_000.0)
+    }
+}
+
+// ---------------------------------------------------------------- neighbours' hosts
+
+/// The part of its weight that a zone's host has in another zone's table, by (table, hosts).
+#[derive(Default)]
+struct Spill {
+    parts: BTreeMap<(ZoneId, ZoneId), f64>,
+    planned_at: Option<f64>,
+}
+
+impl Spill {
+    /// Neighbours' hosts join where a zone's own carry more than the fleet's share: levels out
+    /// skewed demand and lost hosts alike. Costs crossings, as few as the excess asks for. Parts
+    /// are sticky and in quarters, so that small shifts write no orders.
+    fn plan(&mut self, now: f64, weights: &[f64], demands: &[f64]) {
+        if self.planned_at.is_some_and(|at| now < at + 2_000.0) {
+            return;
+        }
+        self.planned_at = Some(now);
+        let fair = demands.iter().sum::<f64>() / weights.iter().sum::<f64>().max(1e-9);
+        let room: Vec<f64> = weights.iter().zip(demands).map(|(w, d)| (w * fair - d).max(0.0)).collect();
+        let all_room = room.iter().sum::<f64>().max(1e-9);
+        for (place, (weight, demand)) in weights.iter().zip(demands).enumerate() {
+            let out = (demand - weight * fair).max(0.0) / demand.max(1e-9);
+            for other in (0..weights.len()).filter(|other| *other != place) {
+                let flow = out * room[other] / all_room;
+                let exact = flow * weight / (1.0 - out).max(0.05) / weights[other].max(1e-9);
+                let pair = (ZoneId(place as u16), ZoneId(other as u16));
+                let part = self.parts.entry(pair).or_insert(0.0);
+                if (exact - *part).abs() > 0.2 {
+                    *part = (exact * 4.0).round().min(4.0) / 4.0;
+                }
+            }
+        }
+    }
+}
+
+// ---------------------------------------------------------------- levels
+
+/// What a zone asks of one product: a rate at each of its proxies.
+struct Ask {
+    id: ProductId,
+    rates: Vec<f64>,
+    sla: f64,
+    revenue: f64,
+}
+
+impl Ask {
+    fn total(&self) -> f64 {
+        self.rates.iter().sum()
+    }
+    /// The work asked for; the SLA time stands in for the work of one, which is not told.
+    fn work(&self) -> f64 {
+        self.total() * self.sla
+    }
+}
+
+/// The part of a zone's work that is let in.
+struct Level {
+    share: f64,
+    judged_at: f64,
+    pressed: bool,
+}
+
+impl Level {
+    /// More asked than settled shows as slow good answers and as voided tries at all hosts alike.
+    /// Then what is let in falls toward what gets settled, else it rises again by small steps.
+    fn judge(&mut self, now: f64, real: &Tally, asks: &[Ask], every: f64) {
+        if now < self.judged_at + every || real.tries < 5.0 {
+            return;
+        }
+        self.judged_at = now;
+        let came = asks.iter().map(Ask::total).sum::<f64>().max(1e-9);
+        let sla = asks.iter().map(Ask::work).sum::<f64>() / came;
+        let mean = real.took / real.good().max(1.0);
+        self.pressed = mean > 0.5 * sla || real.voided_part() > 0.12;
+        if self.pressed {
+            let settled = 1_000.0 * real.good() / (every + BUCKET) / came;
+            self.share = self.share.min(f64::max(0.9 * settled, 0.75 * self.share)).max(0.15);
+        } else {
+            self.share = f64::min(1.0, self.share + 0.05);
+        }
+    }
+
+    /// Sheds the least revenue per work first, and leaves of each product a tenth.
+    fn split(&self, mut asks: Vec<Ask>, kind: LevelKind) -> Vec<(ProductId, f64, Tries)> {
+        asks.sort_by(|a, b| (a.revenue / a.sla).total_cmp(&(b.revenue / b.sla)));
+        let mut shed = (1.0 - self.share) * asks.iter().map(Ask::work).sum::<f64>();
+        let tries = if self.pressed { Tries::One } else { Tries::AfterProof };
+        let levels = asks.into_iter().map(|ask| {
+            let cut = f64::min(shed, 0.9 * ask.work());
+            shed -= cut;
+            let share = 1.0 - cut / ask.work().max(1e-9);
+            let level = match kind {
+                LevelKind::Rate if share > 0.98 => 1e6,
+                LevelKind::Rate => even_rate(ask.rates, share),
+                _ if share > 0.98 => 1.0,
+                _ => (share * 20.0).round() / 20.0,
+            };
+            (ask.id, level, tries)
+        });
+        levels.collect()
+    }
+}
+
+/// The rate at each proxy with which so much of what came to all of them gets in.
+fn even_rate(mut rates: Vec<f64>, share: f64) -> f64 {
+    rates.sort_by(f64::total_cmp);
+    let mut left = share * rates.iter().sum::<f64>();
+    for (place, rate) in rates.iter().enumerate() {
+        let even = left / (rates.len() - place) as f64;
+        if *rate >= even {
+            // Steps of a quarter of an octave, so that small shifts write no orders.
+            return 2f64.powf((even.max(0.05).log2() * 4.0).round() / 4.0);
+        }
+        left -= rate;
+    }
+    1e6
+}
+
 // ---------------------------------------------------------------- the list
 
 struct Watch {
@@ -218,8 +338,7 @@
         let wait = 600.0 * 2f64.powi(self.failures.min(3)) * (0.75 + 0.5 * chance);
         let due = self.asked_at.is_none_or(|at| now >= at + wait);
         if self.roster.asked && !self.watching && due {
-            self.asked_at = Some(now);
-            self.watching = true;
+            (self.asked_at, self.watching) = (Some(now), true);
             out.push(Order::Watch { on: true });
         }
     }
@@ -263,7 +382,7 @@
 /// One reply as it is put together, with what it writes to each proxy.
 struct Reply<'a> {
     now: f64,
-    queue: &'a Queue,
+    channel: &'a Channel,
     proxies: &'a BTreeMap<ProxyId, Proxy>,
     lines: BTreeMap<ProxyId, f64>,
     waiting: f64,
@@ -273,7 +392,7 @@
 impl Reply<'_> {
     /// Takes the orders in if backlog and message limits allow; `each` lines go to each of `whom`.
     fn take(&mut self, haste: Haste, whom: &[ProxyId], each: f64, orders: &[Order]) -> bool {
-        let channel = &self.queue.channel;
+        let channel = self.channel;
         // Half the backlog and half the messages are kept for what cannot wait.
         let (part, spare) = match haste {
             Haste::AtOnce => (0.85, 3),
@@ -301,23 +420,25 @@
     }
 }
 
-// ---------------------------------------------------------------- wanted and present
-
-/// Which of the two tables of a zone: for most products, or for those confined to their zone.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Reach {
-    Any,
-    OwnZone,
-}
+// ---------------------------------------------------------------- the steward
 
+/// Tables, by number: one a zone, and one more a zone for products confined to theirs.
 #[derive(Clone, Default)]
 struct Plan {
     held: BTreeSet<HostId>,
     lines: BTreeMap<TblId, BTreeMap<HostId, f64>>,
-    binds: BTreeMap<(ProxyId, Reach), TblId>,
+    /// By proxy, and whether for the confined products.
+    binds: BTreeMap<(ProxyId, bool), TblId>,
     levels: BTreeMap<(TblId, Products), (f64, Tries)>,
 }
 
+impl Plan {
+    fn users(&self, tbl: TblId) -> Vec<ProxyId> {
+        let bound = self.binds.iter().filter(|(_, bound)| **bound == tbl);
+        bound.map(|((proxy, _), _)| *proxy).collect()
+    }
+}
+
 pub struct Steward {
     post: Post,
     products: Vec<Product>,
@@ -329,28 +450,25 @@
     hosts: BTreeMap<HostId, Host>,
     proxies: BTreeMap<ProxyId, Proxy>,
     spill: Spill,
+    levels: BTreeMap<ZoneId, Level>,
+    /// The voided part of tries at the median host, and the squared settled part of all tries.
+    usual_voided: f64,
+    calm: f64,
     present: Plan,
-    started: bool,
     draws: u64,
 }
 
 /// A fifth of the probe period: gates and returns are seen to at least so often.
 const TICK: f64 = 200.0;
-/// The design's start value, kept.
-const PROBE_PERIOD: f64 = 1_000.0;
 
 impl Decide for Steward {
     fn decide(&mut self, now: f64, events: &[Event]) -> Vec<Order> {
         let mut out = Vec::new();
-        let mut ticked = !std::mem::replace(&mut self.started, true);
-        for event in events {
-            ticked |= matches!(event, Event::Due { .. });
-            self.hear(now, event);
-        }
-        if ticked {
+        events.iter().for_each(|event| self.hear(now, event));
+        let chance = self.chance();
+        if self.draws == 1 || events.iter().any(|event| matches!(event, Event::Due { .. })) {
             out.push(Order::Timer { after: TICK, timer: TimerId(0) });
         }
-        let chance = self.chance();
         self.watch.ask(now, chance, &mut out);
         // Slices are carried, not decided yet: no order that they would make illegal.
         if self.post.slices == 0 {
@@ -373,21 +491,16 @@
         roster: Roster,
         sums: Sums,
     ) -> Self {
-        Steward {
-            post,
-            products,
-            sidecars,
-            warmup,
-            sums,
-            watch: Watch { roster, asked_at: None, failures: 0, watching: false },
-            queue: Queue { channel, sent: VecDeque::new(), marks: 0 },
-            hosts: BTreeMap::new(),
-            proxies: BTreeMap::new(),
-            spill: Spill::default(),
-            present: Plan::default(),
-            started: false,
-            draws: 0,
-        }
+        let watch = Watch { roster, asked_at: None, failures: 0, watching: false };
+        let queue = Queue { channel, sent: VecDeque::new(), marks: 0 };
+        let (hosts, proxies, levels) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        let (spill, present, usual_voided, calm, draws) = (Spill::default(), Plan::default(), 0.0, 1.0, 0);
+        #[rustfmt::skip]
+        let steward = Steward {
+            post, products, sidecars, warmup, sums, watch, queue, hosts, proxies, spill, levels,
+            usual_voided, calm, present, draws,
+        };
+        steward
     }
 
     /// Between 0 and 1, from the instance's seed and a counter.
@@ -398,11 +511,12 @@
         hasher.finish() as f64 / u64::MAX as f64
     }
 
+    // ------------------------------------------------------------ what is heard
+
     fn hear(&mut self, now: f64, event: &Event) {
         match event {
             Event::List { news: ListNews::Failed, .. } => {
-                self.watch.watching = false;
-                self.watch.failures += 1;
+                (self.watch.watching, self.watch.failures) = (false, self.watch.failures + 1);
             }
             Event::List { news, entries } => self.learn(now, *news, entries),
             Event::Joined { proxy, zone, txns_per_s, .. } => {
@@ -412,11 +526,11 @@
                 self.proxies.insert(*proxy, joined);
             }
             Event::Left { proxy } => self.left(*proxy),
-            Event::Met { host, tries, voided, mean, over, .. } => {
+            Event::Met { host, zone, tries, voided, mean, over, .. } => {
                 if let Some(host) = self.hosts.get_mut(host) {
                     let (tries, voided) = (f64::from(*tries), f64::from(*voided));
                     let tally = Tally { tries, voided, took: mean * (tries - voided), over: *over };
-                    host.met.add(now, &tally);
+                    host.met.entry(*zone).or_default().add(now, tally);
                     host.summed_at = now;
                 }
             }
@@ -424,12 +538,12 @@
                 if let Some(proxy) = self.proxies.get_mut(proxy) {
                     let (tries, voided) = (f64::from(*txns), f64::from(*voided));
                     let tally = Tally { tries, voided, took: 0.0, over: *over };
-                    proxy.came.entry(*product).or_default().add(now, &tally);
+                    proxy.came.entry(*product).or_default().add(now, tally);
                 }
             }
             Event::Probed { host, outcome, .. } => {
                 if let Some(host) = self.hosts.get_mut(host) {
-                    let verdict = judge_probe(*outcome, &host.met.last(now, self.sums.every + BUCKET));
+                    let verdict = judge_probe(*outcome, &host.met(now, self.sums.every + BUCKET));
                     host.gate.count(now, verdict, 1, true);
                     // Silent and back: it may have started anew before the list knows.
                     let back = verdict == Verdict::Pass && host.gate.unreachable && host.gate.shut;
@@ -465,19 +579,14 @@
             missing.for_each(|(_, host)| host.standing = Standing::Gone);
         }
         for entry in entries {
+            let (zone, standing) = (entry.zone, entry.standing);
+            let weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
+            #[rustfmt::skip]
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host {
-                zone: entry.zone,
-                weight: entry.weight,
-                standing: entry.standing,
-                cold_since: None,
-                gate: Gate::default(),
-                met: Ring::default(),
-                summed_at: 0.0,
-                probed_at: f64::MIN,
+                zone, weight, standing, cold_since: None, gate: Gate::default(), met: BTreeMap::new(),
+                summed_at: f64::MIN, probed_at: f64::MIN,
             });
-            host.zone = entry.zone;
-            host.weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
-            host.standing = entry.standing;
+            (host.zone, host.standing, host.weight) = (zone, standing, weight);
             if let Some(born) = entry.born.filter(|born| now - born < self.warmup.within) {
                 host.cold_since = Some(host.cold_since.map_or(born, |since| since.max(born)));
             }
@@ -485,11 +594,9 @@
     }
 
     fn probe(&mut self, now: f64, out: &mut Vec<Order>) {
-        if !self.post.may_probe {
-            return;
-        }
-        for (id, host) in &mut self.hosts {
-            if host.standing == Standing::On && now >= host.probed_at + PROBE_PERIOD - 1.0 {
+        let on = self.hosts.iter_mut().filter(|(_, host)| host.standing == Standing::On);
+        for (id, host) in on.filter(|_| self.post.may_probe) {
+            if now >= host.probed_at + PROBE_PERIOD - 1.0 {
                 host.probed_at = now;
                 out.push(Order::Probe { host: *id });
             }
@@ -498,124 +605,132 @@
 
     fn judge(&mut self, now: f64) {
         let window = self.sums.every + BUCKET;
-        let mut parts: Vec<f64> = Vec::new();
-        for host in self.hosts.values().filter(|host| host.standing == Standing::On) {
-            let real = host.met.last(now, window);
-            if real.tries >= 3.0 {
-                parts.push(real.voided_part());
-            }
-        }
+        let on = || self.hosts.values().filter(|host| host.standing == Standing::On);
+        let reals: Vec<Tally> = on().map(|host| host.met(now, window)).collect();
+        let all_real = reals.iter().fold(Tally::default(), |sum, real| sum.plus(*real));
+        let mut parts: Vec<f64> =
+            reals.iter().filter(|real| real.tries >= 3.0).map(Tally::voided_part).collect();
         parts.sort_by(f64::total_cmp);
         let usual = parts.get(parts.len() / 2).copied().unwrap_or(0.0);
-        let weight_of = |host: &Host| if host.standing == Standing::On { host.weight } else { 0.0 };
-        let all: f64 = self.hosts.values().map(weight_of).sum();
-        let mut shut: f64 = self.hosts.values().filter(|host| host.gate.shut).map(weight_of).sum();
+        let all: f64 = on().map(|host| host.weight).sum();
+        let mut shut: f64 = on().filter(|host| host.gate.shut).map(|host| host.weight).sum();
+        (self.usual_voided, self.calm) = (usual, (1.0 - all_real.voided_part()).powi(2));
         for host in self.hosts.values_mut().filter(|host| host.standing == Standing::On) {
             if host.summed_at == now {
-                let verdict = judge_sums(&host.met.last(now, window), usual);
+                let verdict = judge_sums(&host.met(now, window), usual);
                 // The rest must carry what is gated by sums: a third of the fleet at the most.
                 let may = shut + host.weight <= 0.34 * all;
-                let weighing = 1 + (self.sums.every / PROBE_PERIOD) as u32;
                 let before = host.gate.shut;
-                host.gate.count(now, verdict, weighing, may);
-                if host.gate.shut && verdict == Verdict::Fail {
-                    host.gate.by_sums = true;
-                }
-                if host.gate.shut && !before {
-                    shut += host.weight;
-                }
+                host.gate.count(now, verdict, 1 + (self.sums.every / PROBE_PERIOD) as u32, may);
+                host.gate.by_sums |= host.gate.shut && verdict == Verdict::Fail;
+                shut += if host.gate.shut && !before { host.weight } else { 0.0 };
             }
-            let trial = 2.0 * self.sums.every + 1_500.0;
-            host.gate.lift(now, trial);
+            host.gate.lift(now, 2.0 * self.sums.every + 1_500.0);
         }
     }
 
     // ------------------------------------------------------------ what is wanted
 
-    fn tbl(&self, zone: ZoneId, reach: Reach) -> TblId {
-        match reach {
-            Reach::Any => TblId(zone.0),
-            Reach::OwnZone => TblId(self.post.zones + zone.0),
-        }
+    fn tbl(&self, zone: ZoneId, confined: bool) -> TblId {
+        TblId(zone.0 + if confined { self.post.zones } else { 0 })
     }
 
-    fn products_of(&self, reach: Reach) -> Products {
-        let own = |product: &Product| product.own_zone == (reach == Reach::OwnZone);
-        let places = self.products.iter().enumerate().filter(|(_, product)| own(product));
+    fn products_of(&self, confined: bool) -> Products {
+        let places = self.products.iter().enumerate().filter(|(_, p)| p.own_zone == confined);
         Products(places.fold(0, |mask, (place, _)| mask | (1 << place)))
     }
 
     fn want(&mut self, now: f64) -> Plan {
         let mut plan = Plan::default();
-        let warmup = &self.warmup;
         let zones: Vec<ZoneId> = (0..self.post.zones).map(ZoneId).collect();
-        let any_open = self.hosts.values().any(|host| host.open(now, warmup));
         let confined = self.products.iter().any(|product| product.own_zone);
+        let able = |host: &Host| match host.standing {
+            Standing::On => host.part(now, &self.warmup, self.calm),
+            _ => None,
+        };
+        let open = |host: &&Host| !host.gate.shut && able(host).is_some();
+        let any_open = self.hosts.values().any(|host| open(&host));
         for (id, host) in &self.hosts {
-            let listed = host.standing == Standing::On;
-            let zone_open = self.hosts.values().any(|h| h.zone == host.zone && h.open(now, warmup));
             // With every host gated, gates are ignored; so too where a product has no other zone.
-            let gates_count = any_open && (zone_open || !confined);
-            let gated = host.gate.shut && gates_count;
-            if !listed || gated || host.part(now, warmup).is_none() {
+            let zone_open = || self.hosts.values().filter(open).any(|other| other.zone == host.zone);
+            let gated = host.gate.shut && any_open && (!confined || zone_open());
+            if gated || able(host).is_none() {
                 plan.held.insert(*id);
             }
         }
-        self.spill.plan(now, &zones, &self.hosts, &self.proxies, warmup);
+        let of = |zone: &ZoneId| {
+            let there = self.hosts.values().filter(|host| host.zone == *zone).filter(open);
+            there.map(|host| host.weight * able(host).unwrap_or(0.0)).sum::<f64>()
+        };
+        let asked = |zone: &ZoneId| {
+            let there = self.proxies.values().filter(|proxy| proxy.zone == *zone);
+            there.map(|proxy| proxy.rate(now)).sum::<f64>()
+        };
+        let weights: Vec<f64> = zones.iter().map(of).collect();
+        let demands: Vec<f64> = zones.iter().map(asked).collect();
+        self.spill.plan(now, &weights, &demands);
+        let mut usable = BTreeMap::new();
         for zone in &zones {
-            let mut any = BTreeMap::new();
-            let mut own = BTreeMap::new();
+            let (mut any, mut own, mut sum) = (BTreeMap::new(), BTreeMap::new(), 0.0);
             for (id, host) in &self.hosts {
-                if host.standing == Standing::Gone {
-                    continue;
-                }
-                let part = match host.part(now, warmup) {
-                    Some(part) => part,
-                    None => continue,
+                let Some(part) = able(host) else { continue };
+                let joins = match host.zone == *zone {
+                    true => 1.0,
+                    false => self.spill.parts.get(&(*zone, host.zone)).copied().unwrap_or(0.0),
                 };
-                let joins = if host.zone == *zone { 1.0 } else { self.spill.part(*zone, host.zone) };
+                let held = plan.held.contains(id);
                 if host.zone == *zone {
                     own.insert(*id, host.weight * part);
                 }
-                if joins > 0.0 && (plan.held.contains(id) || !host.gate.shut || !any_open) {
+                if joins > 0.0 && (held || !host.gate.shut || !any_open) {
                     any.insert(*id, host.weight * part * joins);
+                    sum += if !held && host.warm(now, &self.warmup) { host.weight } else { 0.0 };
                 }
             }
-            plan.lines.insert(self.tbl(*zone, Reach::Any), any);
+            usable.insert(self.tbl(*zone, false), sum);
+            plan.lines.insert(self.tbl(*zone, false), any);
             if confined {
-                plan.lines.insert(self.tbl(*zone, Reach::OwnZone), own);
+                plan.lines.insert(self.tbl(*zone, true), own);
             }
         }
         // A table with no host left to carry it: its proxies go to the one that has most.
-        let usable = |lines: &BTreeMap<HostId, f64>| -> f64 {
-            let open = lines.iter().filter(|(id, _)| !plan.held.contains(id));
-            open.filter(|(id, _)| self.hosts[id].warm(now, warmup)).map(|(_, weight)| weight).sum()
-        };
-        let widest = zones.iter().map(|zone| self.tbl(*zone, Reach::Any));
-        let widest = widest.max_by(|a, b| usable(&plan.lines[a]).total_cmp(&usable(&plan.lines[b])));
-        let mut binds = BTreeMap::new();
+        let widest = usable.iter().max_by(|a, b| a.1.total_cmp(b.1)).map(|(tbl, _)| *tbl);
         for (id, proxy) in &self.proxies {
-            let home = self.tbl(proxy.zone, Reach::Any);
-            let bare = plan.lines.get(&home).is_none_or(|lines| usable(lines) == 0.0);
-            let tbl = if bare { widest.unwrap_or(home) } else { home };
-            binds.insert((*id, Reach::Any), tbl);
+            let home = self.tbl(proxy.zone, false);
+            let carried = usable.get(&home).is_some_and(|sum| *sum > 0.0);
+            plan.binds.insert((*id, false), if carried { home } else { widest.unwrap_or(home) });
             if confined {
-                binds.insert((*id, Reach::OwnZone), self.tbl(proxy.zone, Reach::OwnZone));
+                plan.binds.insert((*id, true), self.tbl(proxy.zone, true));
             }
         }
-        plan.binds = binds;
-        if self.sidecars.usual_tries != Tries::AfterProof {
-            let tries = (1.0, Tries::AfterProof);
-            plan.levels.insert((TblId::ALL, Products::ALL), self.open_level(tries));
+        for zone in &zones {
+            self.admit(now, *zone, &mut plan);
         }
         plan
     }
 
-    /// A level that lets all in, in the site's kind.
-    fn open_level(&self, (share, tries): (f64, Tries)) -> (f64, Tries) {
-        match self.sidecars.levels {
-            LevelKind::Rate if share >= 1.0 => (1e6, tries),
-            _ => (share, tries),
+    /// Levels, zone by zone, from the zone's own figures: what its proxies met and what came.
+    fn admit(&mut self, now: f64, zone: ZoneId, plan: &mut Plan) {
+        let window = self.sums.every + BUCKET;
+        let hosts = self.hosts.values().filter(|host| !host.gate.shut);
+        let met = hosts.filter_map(|host| host.met.get(&zone)).map(|ring| ring.last(now, window));
+        let usual = met.filter(|met| judge_sums(met, self.usual_voided) != Verdict::Fail);
+        let real = usual.fold(Tally::default(), Tally::plus);
+        let there: Vec<&Proxy> = self.proxies.values().filter(|proxy| proxy.zone == zone).collect();
+        let asks = self.products.iter().enumerate().map(|(place, product)| {
+            let id = ProductId(place as u16);
+            let rates = there.iter().map(|proxy| proxy.rate_of(now, id)).collect();
+            Ask { id, rates, sla: product.sla, revenue: product.revenue }
+        });
+        let asks: Vec<Ask> = asks.collect();
+        let fresh = Level { share: 1.0, judged_at: f64::MIN, pressed: false };
+        let level = self.levels.entry(zone).or_insert(fresh);
+        if self.sidecars.levels != LevelKind::Off {
+            level.judge(now, &real, &asks, self.sums.every);
+        }
+        for (id, level, tries) in level.split(asks, self.sidecars.levels) {
+            let tbl = self.tbl(zone, self.products[id.0 as usize].own_zone);
+            plan.levels.insert((tbl, Products::one(id)), (level, tries));
         }
     }
 
@@ -624,157 +739,67 @@
     /// The one place that turns what is wanted into orders: what differs from the present goes out,
     /// the urgent first, as far as the channel takes it. What does not fit waits for the next call.
     fn publish(&mut self, now: f64, wanted: Plan, out: &mut Vec<Order>) {
+        let masks = [self.products_of(false), self.products_of(true)];
         let everyone: Vec<ProxyId> = self.proxies.keys().copied().collect();
-        let waiting = self.queue.waiting();
-        let (queue, proxies) = (&self.queue, &self.proxies);
-        let mut reply = Reply { now, queue, proxies, lines: BTreeMap::new(), waiting, orders: Vec::new() };
-        let masks = [Reach::Any, Reach::OwnZone].map(|reach| self.products_of(reach));
+        let (channel, proxies, waiting) = (&self.queue.channel, &self.proxies, self.queue.waiting());
+        let (lines, orders) = (BTreeMap::new(), Vec::new());
+        let mut reply = Reply { now, channel, proxies, lines, waiting, orders };
         let present = &mut self.present;
-        let users = |present: &Plan, tbl: TblId| -> Vec<ProxyId> {
-            let bound = present.binds.iter().filter(|(_, bound)| **bound == tbl);
-            let whom: BTreeSet<ProxyId> = bound.map(|((proxy, _), _)| *proxy).collect();
-            whom.into_iter().collect()
-        };
-        for host in wanted.held.difference(&present.held.clone()) {
-            let order = Order::Withdraw { host: *host, out: true };
-            if reply.take(Haste::AtOnce, &everyone, 1.0, &[order]) {
-                present.held.insert(*host);
+        for host in wanted.held.difference(&present.held.clone()).copied() {
+            if reply.take(Haste::AtOnce, &everyone, 1.0, &[Order::Withdraw { host, out: true }]) {
+                present.held.insert(host);
             }
         }
         for (tbl, lines) in &wanted.lines {
-            let now_there = present.lines.entry(*tbl).or_default().clone();
-            let mut orders = Vec::new();
-            for (host, weight) in lines {
-                let settled = now_there.get(host) == Some(weight);
-                let waits = wanted.held.contains(host) && now_there.contains_key(host);
-                if !settled && !waits {
-                    orders.push(Order::Share { tbl: *tbl, host: *host, weight: *weight });
-                }
-            }
-            for host in now_there.keys().filter(|host| !lines.contains_key(host)) {
-                orders.push(Order::Share { tbl: *tbl, host: *host, weight: 0.0 });
-            }
-            let whom = users(present, *tbl);
-            if !orders.is_empty() && reply.take(Haste::Paced, &whom, orders.len() as f64, &orders) {
-                let standing = present.lines.entry(*tbl).or_default();
-                for order in orders {
-                    match order {
-                        Order::Share { host, weight: 0.0, .. } => standing.remove(&host),
-                        Order::Share { host, weight, .. } => standing.insert(host, weight),
-                        _ => None,
-                    };
-                }
+            let users = present.users(*tbl);
+            let standing = present.lines.entry(*tbl).or_default();
+            let gone = standing.keys().filter(|host| !lines.contains_key(host)).map(|host| (*host, 0.0));
+            let news = lines.iter().map(|(host, weight)| (*host, *weight)).filter(|(host, weight)| {
+                // The weight of a host that is shut out can wait until it comes back.
+                let waits = wanted.held.contains(host) && standing.contains_key(host);
+                standing.get(host) != Some(weight) && !waits
+            });
+            let changes: Vec<(HostId, f64)> = gone.chain(news).collect();
+            let share =
+                |(host, weight): &(HostId, f64)| Order::Share { tbl: *tbl, host: *host, weight: *weight };
+            let orders: Vec<Order> = changes.iter().map(share).collect();
+            if !orders.is_empty() && reply.take(Haste::Paced, &users, orders.len() as f64, &orders) {
+                standing.extend(changes);
+                standing.retain(|_, weight| *weight > 0.0);
             }
         }
-        for host in present.held.clone().difference(&wanted.held) {
-            let order = Order::Withdraw { host: *host, out: false };
-            if reply.take(Haste::Paced, &everyone, 1.0, &[order]) {
-                present.held.remove(host);
+        for host in present.held.clone().difference(&wanted.held).copied() {
+            if reply.take(Haste::Paced, &everyone, 1.0, &[Order::Withdraw { host, out: false }]) {
+                present.held.remove(&host);
             }
         }
-        for ((proxy, reach), tbl) in &wanted.binds {
-            if present.binds.get(&(*proxy, *reach)) == Some(tbl) {
-                continue;
-            }
-            let products = masks[*reach as usize];
-            let lines = present.lines.get(tbl).map_or(0, BTreeMap::len) + present.levels.len();
-            let order = Order::Bind { proxy: *proxy, tbl: *tbl, products };
-            if reply.take(Haste::AtOnce, &[*proxy], 2.0 * lines as f64 + 1.0, &[order]) {
-                present.binds.insert((*proxy, *reach), *tbl);
+        for (&(proxy, confined), &tbl) in &wanted.binds {
+            if present.binds.get(&(proxy, confined)) != Some(&tbl) {
+                let lines = present.lines.get(&tbl).map_or(0, BTreeMap::len) + self.products.len();
+                let bind = Order::Bind { proxy, tbl, products: masks[usize::from(confined)] };
+                if reply.take(Haste::AtOnce, &[proxy], 2.0 * lines as f64 + 1.0, &[bind]) {
+                    present.binds.insert((proxy, confined), tbl);
+                }
             }
         }
-        for ((tbl, products), (level, tries)) in &wanted.levels {
-            if present.levels.get(&(*tbl, *products)) == Some(&(*level, *tries)) {
-                continue;
-            }
-            let whom = if *tbl == TblId::ALL { everyone.clone() } else { users(present, *tbl) };
-            let (tbl, products, level, tries) = (*tbl, *products, *level, *tries);
-            if reply.take(Haste::Paced, &whom, 1.0, &[Order::Admit { tbl, products, level, tries }]) {
+        for (&(tbl, products), &(level, tries)) in &wanted.levels {
+            let order = Order::Admit { tbl, products, level, tries };
+            let differs = present.levels.get(&(tbl, products)) != Some(&(level, tries));
+            if differs && reply.take(Haste::Paced, &present.users(tbl), 1.0, &[order]) {
                 present.levels.insert((tbl, products), (level, tries));
             }
         }
         let Reply { lines, orders, .. } = reply;
+        out.extend(orders);
         if lines.is_empty() {
-            out.extend(orders);
             return;
         }
         let one = Tally { tries: 1.0, ..Tally::default() };
-        for proxy in lines.keys() {
-            if let Some(proxy) = self.proxies.get_mut(proxy) {
-                proxy.messages.add(now, &one);
-            }
-        }
+        let written = self.proxies.iter_mut().filter(|(id, _)| lines.contains_key(id));
+        written.for_each(|(_, proxy)| proxy.messages.add(now, one));
         let mark = MarkId(self.queue.marks);
         self.queue.marks = self.queue.marks.wrapping_add(1);
         self.queue.sent.push_back((mark, lines));
-        out.extend(orders);
         out.push(Order::Mark { mark, everyone: false });
     }
 }
-
-// ---------------------------------------------------------------- neighbours' hosts
-
-/// Which part of their weight a zone's hosts have in a neighbour's table: sticky, in quarters.
-#[derive(Default)]
-struct Spill {
-    parts: BTreeMap<(ZoneId, ZoneId), f64>,
-    planned_at: Option<f64>,
-}
-
-impl Spill {
-    fn part(&self, zone: ZoneId, of: ZoneId) -> f64 {
-        self.parts.get(&(zone, of)).copied().unwrap_or(0.0)
-    }
-
-    /// Neighbours' hosts join where a zone's own carry more than the fleet's share: levels out
-    /// skewed demand and lost hosts alike. Costs crossings, as few as the excess asks for.
-    fn plan(
-        &mut self,
-        now: f64,
-        zones: &[ZoneId],
-        hosts: &BTreeMap<HostId, Host>,
-        proxies: &BTreeMap<ProxyId, Proxy>,
-        warmup: &Warmup,
-    ) {
-        if self.planned_at.is_some_and(|at| now < at + 2_000.0) {
-            return;
-        }
-        self.planned_at = Some(now);
-        let weight = |zone: &ZoneId| -> f64 {
-            let open = hosts.values().filter(|host| host.zone == *zone && host.open(now, warmup));
-            open.map(|host| host.weight * host.part(now, warmup).unwrap_or(0.0)).sum()
-        };
-        let demand = |zone: &ZoneId| -> f64 {
-            let there = proxies.values().filter(|proxy| proxy.zone == *zone);
-            there.map(|proxy| proxy_rate(now, proxy)).sum()
-        };
-        let weights: Vec<f64> = zones.iter().map(weight).collect();
-        let demands: Vec<f64> = zones.iter().map(demand).collect();
-        let fair = demands.iter().sum::<f64>() / weights.iter().sum::<f64>().max(1e-9);
-        let room: Vec<f64> = weights.iter().zip(&demands).map(|(w, d)| (w * fair - d).max(0.0)).collect();
-        let all_room = room.iter().sum::<f64>().max(1e-9);
-        for (place, zone) in zones.iter().enumerate() {
-            let excess = (demands[place] - weights[place] * fair).max(0.0);
-            let out = if demands[place] > 0.0 { excess / demands[place] } else { 0.0 };
-            for (other, neighbour) in zones.iter().enumerate().filter(|(other, _)| *other != place) {
-                let flow = out * room[other] / all_room;
-                let exact = flow * weights[place] / (1.0 - out).max(0.05) / weights[other].max(1e-9);
-                let part = self.parts.entry((*zone, *neighbour)).or_insert(0.0);
-                if (exact - *part).abs() > 0.2 {
-                    *part = (exact * 4.0).round().min(4.0) / 4.0;
-                }
-            }
-        }
-    }
-}
-
-fn proxy_rate(now: f64, proxy: &Proxy) -> f64 {
-    let sums = proxy.came.values().map(|ring| ring.last(now, 8_000.0));
-    // A product of which none came has no line: the longest time covered holds for all.
-    let (tries, over) = sums.fold((0.0, 0.0), |(t, o), sum| (t + sum.tries, f64::max(o, sum.over)));
-    if over > 0.0 {
-        1_000.0 * tries / over
-    } else {
-        proxy.joined_rate
-    }
-}
