--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,9 @@
     fn good(&self) -> f64 {
         self.tries - self.voided
     }
+    fn mean(&self) -> f64 {
+        self.took / self.good().max(1.0)
+    }
 }
 
 /// Half a second a bucket: finer than any sum comes; 24 of them hold the longest look back.
@@ -81,24 +84,26 @@
     Neither,
 }
 
-/// A light probe says that a process runs, no more: good real answers outrank one that timed out
-/// (a busy host), and failing real txns outrank one that passed (it errs or hangs beside it).
+/// A light probe says that a process runs, no more: good real answers, late ones too, outrank one
+/// that timed out (a busy host), and failing real txns one that passed (it errs or hangs beside it).
 fn judge_probe(outcome: Outcome, real: &Tally) -> Verdict {
     match outcome {
         Outcome::Answered if real.tries >= 4.0 && real.voided_part() > 0.5 => Verdict::Neither,
         Outcome::Answered => Verdict::Pass,
-        Outcome::TimedOut if real.good() >= 3.0 && real.voided_part() < 0.5 => Verdict::Neither,
+        Outcome::TimedOut if real.good() >= 1.0 => Verdict::Neither,
         Outcome::Errored | Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset => Verdict::Fail,
         Outcome::Full | Outcome::Unknown => Verdict::Neither,
     }
 }
 
 /// A window of late sums as one more probe. Only what stands out from the other hosts counts: if
-/// all worsen together it is load, the path or something shared.
-fn judge_sums(real: &Tally, usual_part: f64) -> Verdict {
+/// all worsen together it is load, the path or something shared. A host that answers slowly beside
+/// what it voids is overrun, not bad: gating it would overrun the next.
+fn judge_sums(real: &Tally, usual_part: f64, sla: f64) -> Verdict {
     let part = real.voided_part();
-    let bad = real.tries >= 5.0 && part > 0.3 && part > usual_part + 0.25;
-    if bad {
+    let stands_out = real.tries >= 5.0 && part > 0.3 && part > usual_part + 0.25;
+    let overrun = real.good() >= 1.0 && real.mean() > 0.7 * sla;
+    if stands_out && !overrun {
         Verdict::Fail
     } else {
         Verdict::Neither
@@ -277,13 +282,21 @@
         self.judged_at = now;
         let came = asks.iter().map(Ask::total).sum::<f64>().max(1e-9);
         let sla = asks.iter().map(Ask::work).sum::<f64>() / came;
-        let mean = real.took / real.good().max(1.0);
-        self.pressed = mean > 0.5 * sla || real.voided_part() > 0.12;
+        let slow = real.mean() / sla.max(1e-9) + real.voided_part();
+        self.pressed = slow > 0.5;
         if self.pressed {
             let settled = 1_000.0 * real.good() / (every + BUCKET) / came;
-            self.share = self.share.min(f64::max(0.9 * settled, 0.75 * self.share)).max(0.15);
+            self.share = self.share.min(f64::max(0.95 * settled, 0.75 * self.share)).max(0.15);
         } else {
-            self.share = f64::min(1.0, self.share + 0.05);
+            // The more room the answers' time leaves, the longer the step.
+            let step = if slow < 0.2 {
+                1.25
+            } else if slow < 0.35 {
+                1.1
+            } else {
+                1.0
+            };
+            self.share = f64::min(1.0, self.share * step);
         }
     }
 
@@ -603,8 +616,13 @@
         }
     }
 
+    /// The SLA time of the products at large.
+    fn sla(&self) -> f64 {
+        self.products.iter().map(|product| product.sla).sum::<f64>() / self.products.len().max(1) as f64
+    }
+
     fn judge(&mut self, now: f64) {
-        let window = self.sums.every + BUCKET;
+        let (window, sla) = (self.sums.every + BUCKET, self.sla());
         let on = || self.hosts.values().filter(|host| host.standing == Standing::On);
         let reals: Vec<Tally> = on().map(|host| host.met(now, window)).collect();
         let all_real = reals.iter().fold(Tally::default(), |sum, real| sum.plus(*real));
@@ -617,7 +635,7 @@
         (self.usual_voided, self.calm) = (usual, (1.0 - all_real.voided_part()).powi(2));
         for host in self.hosts.values_mut().filter(|host| host.standing == Standing::On) {
             if host.summed_at == now {
-                let verdict = judge_sums(&host.met(now, window), usual);
+                let verdict = judge_sums(&host.met(now, window), usual, sla);
                 // The rest must carry what is gated by sums: a third of the fleet at the most.
                 let may = shut + host.weight <= 0.34 * all;
                 let before = host.gate.shut;
@@ -712,9 +730,10 @@
     /// Levels, zone by zone, from the zone's own figures: what its proxies met and what came.
     fn admit(&mut self, now: f64, zone: ZoneId, plan: &mut Plan) {
         let window = self.sums.every + BUCKET;
+        let sla = self.sla();
         let hosts = self.hosts.values().filter(|host| !host.gate.shut);
         let met = hosts.filter_map(|host| host.met.get(&zone)).map(|ring| ring.last(now, window));
-        let usual = met.filter(|met| judge_sums(met, self.usual_voided) != Verdict::Fail);
+        let usual = met.filter(|met| judge_sums(met, self.usual_voided, sla) != Verdict::Fail);
         let real = usual.fold(Tally::default(), Tally::plus);
         let there: Vec<&Proxy> = self.proxies.values().filter(|proxy| proxy.zone == zone).collect();
         let asks = self.products.iter().enumerate().map(|(place, product)| {
