--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -283,7 +283,7 @@
         let came = asks.iter().map(Ask::total).sum::<f64>().max(1e-9);
         let sla = asks.iter().map(Ask::work).sum::<f64>() / came;
         let slow = real.mean() / sla.max(1e-9) + real.voided_part();
-        self.pressed = slow > 0.5;
+        self.pressed = slow > 0.65;
         if self.pressed {
             let settled = 1_000.0 * real.good() / (every + BUCKET) / came;
             self.share = self.share.min(f64::max(0.95 * settled, 0.75 * self.share)).max(0.15);
