Hosts whose good answers are late beside the others' carry a sticky part

Cause: equal or rough listed weights overrun the slower hosts while the rest idle. A host whose mean good answer passes half the SLA time and 1.6 times the median host's goes down a step of 0.6, at most once in two sums and 2 s, and up again after 10 s of quick answers. Holds too against hosts slowed by pauses or neighbours; may hurt where one host is slow for a moment only.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -69,6 +69,11 @@
     }
 }
 
+fn median(mut of: Vec<f64>) -> f64 {
+    of.sort_by(f64::total_cmp);
+    of.get(of.len() / 2).copied().unwrap_or(0.0)
+}
+
 // ---------------------------------------------------------------- the gate
 
 /// The guide's examples: three failures in a row gate, two passes in a row lift.
@@ -162,6 +167,9 @@
     met: BTreeMap<ZoneId, Ring>,
     summed_at: f64,
     probed_at: f64,
+    /// The part of its listed weight that its speed bears out, and when that was last changed.
+    pace: f64,
+    paced_at: f64,
 }
 
 impl Host {
@@ -177,7 +185,22 @@
         let able = if age < 1.0 { (warmup.from + (1.0 - warmup.from) * age) * calm } else { 1.0 };
         let step = [(1.0, 0.9), (0.5, 0.5), (0.25, 0.25)].into_iter().find(|(_, needs)| able >= *needs)?.0;
         let trial = if now < self.gate.trial_until { 0.25 } else { 1.0 };
-        Some(f64::min(step, trial))
+        Some(f64::min(step, trial) * self.pace)
+    }
+
+    /// Guards against hosts slower than their listed weight: one whose good answers come late while
+    /// the others' do not carries less, a partial gate in few sticky steps. What a step did is only
+    /// seen in later sums, so it waits for them. A host slow for other reasons loses traffic too.
+    fn ease(&mut self, now: f64, real: &Tally, usual_mean: f64, sla: f64, every: f64) {
+        let mean = real.mean();
+        if real.good() < 2.0 || now < self.paced_at + 2.0 * every + 2_000.0 {
+            return;
+        }
+        if mean > 0.5 * sla && mean > 1.6 * usual_mean && self.pace > 0.2 {
+            (self.pace, self.paced_at) = (self.pace * 0.6, now);
+        } else if self.pace < 1.0 && mean < 0.8 * usual_mean && now > self.paced_at + 10_000.0 {
+            (self.pace, self.paced_at) = (f64::min(1.0, self.pace / 0.6), now);
+        }
     }
 
     fn warm(&self, now: f64, warmup: &Warmup) -> bool {
@@ -597,7 +620,7 @@
             #[rustfmt::skip]
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host {
                 zone, weight, standing, cold_since: None, gate: Gate::default(), met: BTreeMap::new(),
-                summed_at: f64::MIN, probed_at: f64::MIN,
+                summed_at: f64::MIN, probed_at: f64::MIN, pace: 1.0, paced_at: f64::MIN,
             });
             (host.zone, host.standing, host.weight) = (zone, standing, weight);
             if let Some(born) = entry.born.filter(|born| now - born < self.warmup.within) {
@@ -626,16 +649,17 @@
         let on = || self.hosts.values().filter(|host| host.standing == Standing::On);
         let reals: Vec<Tally> = on().map(|host| host.met(now, window)).collect();
         let all_real = reals.iter().fold(Tally::default(), |sum, real| sum.plus(*real));
-        let mut parts: Vec<f64> =
-            reals.iter().filter(|real| real.tries >= 3.0).map(Tally::voided_part).collect();
-        parts.sort_by(f64::total_cmp);
-        let usual = parts.get(parts.len() / 2).copied().unwrap_or(0.0);
+        let tried = || reals.iter().filter(|real| real.tries >= 3.0);
+        let usual = median(tried().map(Tally::voided_part).collect());
+        let usual_mean = median(tried().filter(|real| real.good() >= 2.0).map(Tally::mean).collect());
         let all: f64 = on().map(|host| host.weight).sum();
         let mut shut: f64 = on().filter(|host| host.gate.shut).map(|host| host.weight).sum();
         (self.usual_voided, self.calm) = (usual, (1.0 - all_real.voided_part()).powi(2));
         for host in self.hosts.values_mut().filter(|host| host.standing == Standing::On) {
             if host.summed_at == now {
-                let verdict = judge_sums(&host.met(now, window), usual, sla);
+                let real = host.met(now, window);
+                let verdict = judge_sums(&real, usual, sla);
+                host.ease(now, &real, usual_mean, sla, self.sums.every);
                 // The rest must carry what is gated by sums: a third of the fleet at the most.
                 let may = shut + host.weight <= 0.34 * all;
                 let before = host.gate.shut;
