--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -179,7 +179,7 @@
 
     /// The part of its listed weight that a host may carry; none: it stays out. A cold host comes
     /// back in few steps, each below what the slowest warming allows at that age. Where the fleet
-    /// settles only some of what is sent, as much more would be sent to it: it waits by that much.
+    /// settles little of what is sent, as much more is sent to it too: it waits to keep its budget.
     fn part(&self, now: f64, warmup: &Warmup, calm: f64) -> Option<f64> {
         let age = self.cold_since.map_or(1.0, |since| (now - since) / warmup.within);
         let able = if age < 1.0 { (warmup.from + (1.0 - warmup.from) * age) * calm } else { 1.0 };
@@ -487,7 +487,8 @@
     proxies: BTreeMap<ProxyId, Proxy>,
     spill: Spill,
     levels: BTreeMap<ZoneId, Level>,
-    /// The voided part of tries at the median host, and the squared settled part of all tries.
+    /// The voided part of tries at the median host, and what is left of a cold host's budget: half
+    /// of it, for chance, over how much more is sent than gets settled.
     usual_voided: f64,
     calm: f64,
     present: Plan,
@@ -654,7 +655,8 @@
         let usual_mean = median(tried().filter(|real| real.good() >= 2.0).map(Tally::mean).collect());
         let all: f64 = on().map(|host| host.weight).sum();
         let mut shut: f64 = on().filter(|host| host.gate.shut).map(|host| host.weight).sum();
-        (self.usual_voided, self.calm) = (usual, (1.0 - all_real.voided_part()).powi(2));
+        let settled = 1.0 - all_real.voided_part();
+        (self.usual_voided, self.calm) = (usual, f64::min(1.0, 0.5 * self.warmup.multiple * settled));
         for host in self.hosts.values_mut().filter(|host| host.standing == Standing::On) {
             if host.summed_at == now {
                 let real = host.met(now, window);
