--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -193,11 +193,12 @@
     /// seen in later sums, so it waits for them. A host slow for other reasons loses traffic too.
     fn ease(&mut self, now: f64, real: &Tally, usual_mean: f64, sla: f64, every: f64) {
         let mean = real.mean();
-        if real.good() < 2.0 || now < self.paced_at + 2.0 * every + 2_000.0 {
+        if real.good() < 6.0 || now < self.paced_at + 2.0 * every + 2_000.0 {
             return;
         }
-        if mean > 0.5 * sla && mean > 1.6 * usual_mean && self.pace > 0.2 {
-            (self.pace, self.paced_at) = (self.pace * 0.6, now);
+        if mean > 0.5 * sla && mean > 1.6 * usual_mean && self.pace > 0.15 {
+            let step = (1.6 * usual_mean / mean).clamp(0.5, 0.75);
+            (self.pace, self.paced_at) = (self.pace * step, now);
         } else if self.pace < 1.0 && mean < 0.8 * usual_mean && now > self.paced_at + 10_000.0 {
             (self.pace, self.paced_at) = (f64::min(1.0, self.pace / 0.6), now);
         }
@@ -650,9 +651,11 @@
         let on = || self.hosts.values().filter(|host| host.standing == Standing::On);
         let reals: Vec<Tally> = on().map(|host| host.met(now, window)).collect();
         let all_real = reals.iter().fold(Tally::default(), |sum, real| sum.plus(*real));
-        let tried = || reals.iter().filter(|real| real.tries >= 3.0);
-        let usual = median(tried().map(Tally::voided_part).collect());
-        let usual_mean = median(tried().filter(|real| real.good() >= 2.0).map(Tally::mean).collect());
+        let tried = reals.iter().filter(|real| real.tries >= 3.0);
+        let usual = median(tried.map(Tally::voided_part).collect());
+        let long = self.sums.every + 2_000.0;
+        let means = on().map(|host| host.met(now, long)).filter(|real| real.good() >= 6.0);
+        let usual_mean = median(means.map(|real| real.mean()).collect());
         let all: f64 = on().map(|host| host.weight).sum();
         let mut shut: f64 = on().filter(|host| host.gate.shut).map(|host| host.weight).sum();
         let settled = 1.0 - all_real.voided_part();
@@ -661,7 +664,7 @@
             if host.summed_at == now {
                 let real = host.met(now, window);
                 let verdict = judge_sums(&real, usual, sla);
-                host.ease(now, &real, usual_mean, sla, self.sums.every);
+                host.ease(now, &host.met(now, long), usual_mean, sla, self.sums.every);
                 // The rest must carry what is gated by sums: a third of the fleet at the most.
                 let may = shut + host.weight <= 0.34 * all;
                 let before = host.gate.shut;
