--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -299,7 +299,7 @@
 impl Level {
     /// More asked than settled shows as slow good answers and as voided tries at all hosts alike.
     /// Then what is let in falls toward what gets settled, else it rises again by small steps.
-    fn judge(&mut self, now: f64, real: &Tally, asks: &[Ask], every: f64) {
+    fn judge(&mut self, now: f64, real: &Tally, settled: f64, asks: &[Ask], every: f64) {
         if now < self.judged_at + every || real.tries < 5.0 {
             return;
         }
@@ -309,8 +309,9 @@
         let slow = real.mean() / sla.max(1e-9) + real.voided_part();
         self.pressed = slow > 0.65;
         if self.pressed {
-            let settled = 1_000.0 * real.good() / (every + BUCKET) / came;
-            self.share = self.share.min(f64::max(0.95 * settled, 0.75 * self.share)).max(0.15);
+            // Each sum covers its own time; so many of them came in.
+            let settled = settled / came;
+            self.share = self.share.min(f64::max(1.0 * settled, 0.75 * self.share)).max(0.15);
         } else {
             // The more room the answers' time leaves, the longer the step.
             let step = if slow < 0.2 {
@@ -762,8 +763,10 @@
         let sla = self.sla();
         let hosts = self.hosts.values().filter(|host| !host.gate.shut);
         let met = hosts.filter_map(|host| host.met.get(&zone)).map(|ring| ring.last(now, window));
-        let usual = met.filter(|met| judge_sums(met, self.usual_voided, sla) != Verdict::Fail);
-        let real = usual.fold(Tally::default(), Tally::plus);
+        let met: Vec<Tally> =
+            met.filter(|m| judge_sums(m, self.usual_voided, sla) != Verdict::Fail).collect();
+        let settled = met.iter().map(|met| 1_000.0 * met.good() / met.over.max(self.sums.every)).sum();
+        let real = met.into_iter().fold(Tally::default(), Tally::plus);
         let there: Vec<&Proxy> = self.proxies.values().filter(|proxy| proxy.zone == zone).collect();
         let asks = self.products.iter().enumerate().map(|(place, product)| {
             let id = ProductId(place as u16);
@@ -774,7 +777,7 @@
         let fresh = Level { share: 1.0, judged_at: f64::MIN, pressed: false };
         let level = self.levels.entry(zone).or_insert(fresh);
         if self.sidecars.levels != LevelKind::Off {
-            level.judge(now, &real, &asks, self.sums.every);
+            level.judge(now, &real, settled, &asks, self.sums.every);
         }
         for (id, level, tries) in level.split(asks, self.sidecars.levels) {
             let tbl = self.tbl(zone, self.products[id.0 as usize].own_zone);
