Neighbours' hosts take a zone's excess out of the demand that may move

Cause: the excess was spread over all demand, though a product confined to its zone cannot cross; a zone stayed overrun.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -246,7 +246,7 @@
     /// Neighbours' hosts join where a zone's own carry more than the fleet's share: levels out
     /// skewed demand and lost hosts alike. Costs crossings, as few as the excess asks for. Parts
     /// are sticky and in quarters, so that small shifts write no orders.
-    fn plan(&mut self, now: f64, weights: &[f64], demands: &[f64]) {
+    fn plan(&mut self, now: f64, weights: &[f64], demands: &[f64], movable: f64) {
         if self.planned_at.is_some_and(|at| now < at + 2_000.0) {
             return;
         }
@@ -255,10 +255,11 @@
         let room: Vec<f64> = weights.iter().zip(demands).map(|(w, d)| (w * fair - d).max(0.0)).collect();
         let all_room = room.iter().sum::<f64>().max(1e-9);
         for (place, (weight, demand)) in weights.iter().zip(demands).enumerate() {
-            let out = (demand - weight * fair).max(0.0) / demand.max(1e-9);
+            let out = (demand - weight * fair).max(0.0) / (movable * demand).max(1e-9);
+            let out = out.min(0.95);
             for other in (0..weights.len()).filter(|other| *other != place) {
                 let flow = out * room[other] / all_room;
-                let exact = flow * weight / (1.0 - out).max(0.05) / weights[other].max(1e-9);
+                let exact = flow * weight / (1.0 - out) / weights[other].max(1e-9);
                 let pair = (ZoneId(place as u16), ZoneId(other as u16));
                 let part = self.parts.entry(pair).or_insert(0.0);
                 if (exact - *part).abs() > 0.2 {
@@ -716,7 +717,19 @@
         };
         let weights: Vec<f64> = zones.iter().map(of).collect();
         let demands: Vec<f64> = zones.iter().map(asked).collect();
-        self.spill.plan(now, &weights, &demands);
+        // The part of all demand that may go to another zone.
+        let free = |(place, product): (usize, &Product)| -> f64 {
+            let id = ProductId(place as u16);
+            let rates = self.proxies.values().map(|proxy| proxy.rate_of(now, id));
+            if product.own_zone {
+                0.0
+            } else {
+                rates.sum()
+            }
+        };
+        let movable: f64 = self.products.iter().enumerate().map(free).sum();
+        let movable = if movable > 0.0 { movable / demands.iter().sum::<f64>().max(movable) } else { 1.0 };
+        self.spill.plan(now, &weights, &demands, movable);
         let mut usable = BTreeMap::new();
         for zone in &zones {
             let (mut any, mut own, mut sum) = (BTreeMap::new(), BTreeMap::new(), 0.0);
