One rate of demand for levels and neighbours, in a plainer plan

A product's rate at a proxy is now one figure over 5 s, as told at joining until sums come; two windows (8 s and 4 s) and two functions go.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -46,15 +46,9 @@
 const BUCKET: f64 = 500.0;
 const BUCKETS: usize = 24;
 
-#[derive(Clone)]
+#[derive(Default)]
 struct Ring([(i64, Tally); BUCKETS]);
 
-impl Default for Ring {
-    fn default() -> Self {
-        Ring([(i64::MIN, Tally::default()); BUCKETS])
-    }
-}
-
 impl Ring {
     fn add(&mut self, now: f64, tally: Tally) {
         let number = (now / BUCKET) as i64;
@@ -204,8 +198,8 @@
         }
     }
 
-    fn warm(&self, now: f64, warmup: &Warmup) -> bool {
-        self.cold_since.is_none_or(|since| now - since >= warmup.within)
+    fn warm(&self, now: f64, within: f64) -> bool {
+        self.cold_since.is_none_or(|since| now - since >= within)
     }
 }
 
@@ -217,19 +211,11 @@
 }
 
 impl Proxy {
-    fn rate(&self, now: f64) -> f64 {
-        let sums = self.came.values().map(|ring| ring.last(now, 8_000.0));
-        // A product of which none came has no line: the longest time covered holds for all.
-        let (tries, over) = sums.fold((0.0, 0.0), |(t, o), sum| (t + sum.tries, f64::max(o, sum.over)));
-        if over > 0.0 {
-            1_000.0 * tries / over
-        } else {
-            self.joined_rate
-        }
-    }
-    fn rate_of(&self, now: f64, product: ProductId) -> f64 {
-        let sum = self.came.get(&product).map(|ring| ring.last(now, 4_000.0)).unwrap_or_default();
-        1_000.0 * sum.tries / sum.over.max(1_000.0)
+    /// Txns a second of one of so many products: as summed of late, until then as told at joining.
+    fn rate(&self, now: f64, product: ProductId, products: usize) -> f64 {
+        let sum = self.came.get(&product).map(|ring| ring.last(now, 5_000.0)).unwrap_or_default();
+        let told = if self.came.is_empty() { self.joined_rate / products as f64 } else { 0.0 };
+        told + 1_000.0 * sum.tries / sum.over.max(1_000.0)
     }
 }
 
@@ -255,8 +241,7 @@
         let room: Vec<f64> = weights.iter().zip(demands).map(|(w, d)| (w * fair - d).max(0.0)).collect();
         let all_room = room.iter().sum::<f64>().max(1e-9);
         for (place, (weight, demand)) in weights.iter().zip(demands).enumerate() {
-            let out = (demand - weight * fair).max(0.0) / (movable * demand).max(1e-9);
-            let out = out.min(0.95);
+            let out = f64::min(0.95, (demand - weight * fair).max(0.0) / (movable * demand).max(1e-9));
             for other in (0..weights.len()).filter(|other| *other != place) {
                 let flow = out * room[other] / all_room;
                 let exact = flow * weight / (1.0 - out) / weights[other].max(1e-9);
@@ -405,17 +390,6 @@
             lines.remove(&proxy);
         }
     }
-    fn waiting(&self) -> f64 {
-        self.sent.iter().flat_map(|(_, lines)| lines.values()).sum()
-    }
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Haste {
-    /// Drains, gates and bare proxies: may use nearly all of the limits.
-    AtOnce,
-    /// The rest leaves that reserve alone.
-    Paced,
 }
 
 /// One reply as it is put together, with what it writes to each proxy.
@@ -430,13 +404,10 @@
 
 impl Reply<'_> {
     /// Takes the orders in if backlog and message limits allow; `each` lines go to each of `whom`.
-    fn take(&mut self, haste: Haste, whom: &[ProxyId], each: f64, orders: &[Order]) -> bool {
+    /// Half of both is kept for what cannot wait: drains, gates and bare proxies.
+    fn take(&mut self, urgent: bool, whom: &[ProxyId], each: f64, orders: &[Order]) -> bool {
         let channel = self.channel;
-        // Half the backlog and half the messages are kept for what cannot wait.
-        let (part, spare) = match haste {
-            Haste::AtOnce => (0.85, 3),
-            Haste::Paced => (0.5, channel.messages / 2),
-        };
+        let (part, spare) = if urgent { (0.85, 3) } else { (0.5, channel.messages / 2) };
         let most = f64::from(channel.messages.saturating_sub(spare).max(1));
         let mut cost = each * whom.len() as f64;
         for proxy in whom.iter().filter(|proxy| !self.lines.contains_key(proxy)) {
@@ -534,11 +505,11 @@
         let watch = Watch { roster, asked_at: None, failures: 0, watching: false };
         let queue = Queue { channel, sent: VecDeque::new(), marks: 0 };
         let (hosts, proxies, levels) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        let (spill, present, usual_voided, calm, draws) = (Spill::default(), Plan::default(), 0.0, 1.0, 0);
+        let (spill, present) = (Spill::default(), Plan::default());
         #[rustfmt::skip]
         let steward = Steward {
             post, products, sidecars, warmup, sums, watch, queue, hosts, proxies, spill, levels,
-            usual_voided, calm, present, draws,
+            usual_voided: 0.0, calm: 1.0, present, draws: 0,
         };
         steward
     }
@@ -590,16 +561,13 @@
                     if back && host.cold_since.is_none_or(|since| since < host.gate.shut_at) {
                         host.cold_since = Some(now);
                     }
-                    match outcome {
-                        Outcome::Unreachable => host.gate.unreachable = true,
-                        Outcome::Answered => host.gate.unreachable = false,
-                        _ => {}
+                    if matches!(outcome, Outcome::Unreachable | Outcome::Answered) {
+                        host.gate.unreachable = *outcome == Outcome::Unreachable;
                     }
                 }
             }
             Event::Applied { proxy, mark, .. } => self.queue.applied(*proxy, *mark),
-            Event::Due { .. } | Event::Peer { .. } => {}
-            Event::SliceGiven { .. } | Event::SliceLine { .. } | Event::SliceCame { .. } => {}
+            _ => {}
         }
     }
 
@@ -649,13 +617,12 @@
     }
 
     fn judge(&mut self, now: f64) {
-        let (window, sla) = (self.sums.every + BUCKET, self.sla());
+        let (window, long, sla) = (self.sums.every + BUCKET, self.sums.every + 2_000.0, self.sla());
         let on = || self.hosts.values().filter(|host| host.standing == Standing::On);
         let reals: Vec<Tally> = on().map(|host| host.met(now, window)).collect();
         let all_real = reals.iter().fold(Tally::default(), |sum, real| sum.plus(*real));
         let tried = reals.iter().filter(|real| real.tries >= 3.0);
         let usual = median(tried.map(Tally::voided_part).collect());
-        let long = self.sums.every + 2_000.0;
         let means = on().map(|host| host.met(now, long)).filter(|real| real.good() >= 6.0);
         let usual_mean = median(means.map(|real| real.mean()).collect());
         let all: f64 = on().map(|host| host.weight).sum();
@@ -689,63 +656,57 @@
         Products(places.fold(0, |mask, (place, _)| mask | (1 << place)))
     }
 
+    fn asks(&self, now: f64, zone: ZoneId) -> Vec<Ask> {
+        let ask = |(place, product): (usize, &Product)| {
+            let id = ProductId(place as u16);
+            let there = self.proxies.values().filter(|proxy| proxy.zone == zone);
+            let rates = there.map(|proxy| proxy.rate(now, id, self.products.len())).collect();
+            Ask { id, rates, sla: product.sla, revenue: product.revenue }
+        };
+        self.products.iter().enumerate().map(ask).collect()
+    }
+
     fn want(&mut self, now: f64) -> Plan {
         let mut plan = Plan::default();
         let zones: Vec<ZoneId> = (0..self.post.zones).map(ZoneId).collect();
         let confined = self.products.iter().any(|product| product.own_zone);
-        let able = |host: &Host| match host.standing {
-            Standing::On => host.part(now, &self.warmup, self.calm),
-            _ => None,
-        };
-        let open = |host: &&Host| !host.gate.shut && able(host).is_some();
-        let any_open = self.hosts.values().any(|host| open(&host));
+        let on = self.hosts.iter().filter(|(_, host)| host.standing == Standing::On);
+        let part = |(id, host): (&HostId, &Host)| Some((*id, host.part(now, &self.warmup, self.calm)?));
+        let parts: BTreeMap<HostId, f64> = on.filter_map(part).collect();
+        let open = |(id, host): &(&HostId, &Host)| !host.gate.shut && parts.contains_key(id);
+        let zones_open: Vec<ZoneId> = self.hosts.iter().filter(open).map(|(_, host)| host.zone).collect();
         for (id, host) in &self.hosts {
             // With every host gated, gates are ignored; so too where a product has no other zone.
-            let zone_open = || self.hosts.values().filter(open).any(|other| other.zone == host.zone);
-            let gated = host.gate.shut && any_open && (!confined || zone_open());
-            if gated || able(host).is_none() {
+            let others = if confined { zones_open.contains(&host.zone) } else { !zones_open.is_empty() };
+            if (host.gate.shut && others) || !parts.contains_key(id) {
                 plan.held.insert(*id);
             }
         }
-        let of = |zone: &ZoneId| {
-            let there = self.hosts.values().filter(|host| host.zone == *zone).filter(open);
-            there.map(|host| host.weight * able(host).unwrap_or(0.0)).sum::<f64>()
-        };
-        let asked = |zone: &ZoneId| {
-            let there = self.proxies.values().filter(|proxy| proxy.zone == *zone);
-            there.map(|proxy| proxy.rate(now)).sum::<f64>()
-        };
-        let weights: Vec<f64> = zones.iter().map(of).collect();
-        let demands: Vec<f64> = zones.iter().map(asked).collect();
-        // The part of all demand that may go to another zone.
-        let free = |(place, product): (usize, &Product)| -> f64 {
-            let id = ProductId(place as u16);
-            let rates = self.proxies.values().map(|proxy| proxy.rate_of(now, id));
-            if product.own_zone {
-                0.0
-            } else {
-                rates.sum()
-            }
-        };
-        let movable: f64 = self.products.iter().enumerate().map(free).sum();
-        let movable = if movable > 0.0 { movable / demands.iter().sum::<f64>().max(movable) } else { 1.0 };
+        let asks: Vec<Vec<Ask>> = zones.iter().map(|zone| self.asks(now, *zone)).collect();
+        let weights = zones.iter().map(|zone| {
+            let there = self.hosts.iter().filter(open).filter(|(_, host)| host.zone == *zone);
+            there.map(|(id, host)| host.weight * parts[id]).sum()
+        });
+        let weights: Vec<f64> = weights.collect();
+        let demands: Vec<f64> = asks.iter().map(|asks| asks.iter().map(Ask::total).sum()).collect();
+        let free = asks.iter().flatten().filter(|ask| !self.products[ask.id.0 as usize].own_zone);
+        let movable = free.map(Ask::total).sum::<f64>() / demands.iter().sum::<f64>().max(1e-9);
         self.spill.plan(now, &weights, &demands, movable);
         let mut usable = BTreeMap::new();
         for zone in &zones {
             let (mut any, mut own, mut sum) = (BTreeMap::new(), BTreeMap::new(), 0.0);
-            for (id, host) in &self.hosts {
-                let Some(part) = able(host) else { continue };
-                let joins = match host.zone == *zone {
-                    true => 1.0,
-                    false => self.spill.parts.get(&(*zone, host.zone)).copied().unwrap_or(0.0),
-                };
+            for (id, part) in &parts {
+                let host = &self.hosts[id];
+                let pair = (*zone, host.zone);
+                let joins =
+                    if host.zone == *zone { 1.0 } else { *self.spill.parts.get(&pair).unwrap_or(&0.0) };
                 let held = plan.held.contains(id);
                 if host.zone == *zone {
                     own.insert(*id, host.weight * part);
                 }
-                if joins > 0.0 && (held || !host.gate.shut || !any_open) {
+                if joins > 0.0 && (held || !host.gate.shut || zones_open.is_empty()) {
                     any.insert(*id, host.weight * part * joins);
-                    sum += if !held && host.warm(now, &self.warmup) { host.weight } else { 0.0 };
+                    sum += if !held && host.warm(now, self.warmup.within) { host.weight } else { 0.0 };
                 }
             }
             usable.insert(self.tbl(*zone, false), sum);
@@ -764,14 +725,14 @@
                 plan.binds.insert((*id, true), self.tbl(proxy.zone, true));
             }
         }
-        for zone in &zones {
-            self.admit(now, *zone, &mut plan);
+        for (zone, asks) in zones.iter().zip(asks) {
+            self.admit(now, *zone, asks, &mut plan);
         }
         plan
     }
 
     /// Levels, zone by zone, from the zone's own figures: what its proxies met and what came.
-    fn admit(&mut self, now: f64, zone: ZoneId, plan: &mut Plan) {
+    fn admit(&mut self, now: f64, zone: ZoneId, asks: Vec<Ask>, plan: &mut Plan) {
         let window = self.sums.every + BUCKET;
         let sla = self.sla();
         let hosts = self.hosts.values().filter(|host| !host.gate.shut);
@@ -780,13 +741,6 @@
             met.filter(|m| judge_sums(m, self.usual_voided, sla) != Verdict::Fail).collect();
         let settled = met.iter().map(|met| 1_000.0 * met.good() / met.over.max(self.sums.every)).sum();
         let real = met.into_iter().fold(Tally::default(), Tally::plus);
-        let there: Vec<&Proxy> = self.proxies.values().filter(|proxy| proxy.zone == zone).collect();
-        let asks = self.products.iter().enumerate().map(|(place, product)| {
-            let id = ProductId(place as u16);
-            let rates = there.iter().map(|proxy| proxy.rate_of(now, id)).collect();
-            Ask { id, rates, sla: product.sla, revenue: product.revenue }
-        });
-        let asks: Vec<Ask> = asks.collect();
         let fresh = Level { share: 1.0, judged_at: f64::MIN, pressed: false };
         let level = self.levels.entry(zone).or_insert(fresh);
         if self.sidecars.levels != LevelKind::Off {
@@ -805,12 +759,13 @@
     fn publish(&mut self, now: f64, wanted: Plan, out: &mut Vec<Order>) {
         let masks = [self.products_of(false), self.products_of(true)];
         let everyone: Vec<ProxyId> = self.proxies.keys().copied().collect();
-        let (channel, proxies, waiting) = (&self.queue.channel, &self.proxies, self.queue.waiting());
+        let (channel, proxies) = (&self.queue.channel, &self.proxies);
+        let waiting = self.queue.sent.iter().flat_map(|(_, lines)| lines.values()).sum();
         let (lines, orders) = (BTreeMap::new(), Vec::new());
         let mut reply = Reply { now, channel, proxies, lines, waiting, orders };
         let present = &mut self.present;
         for host in wanted.held.difference(&present.held.clone()).copied() {
-            if reply.take(Haste::AtOnce, &everyone, 1.0, &[Order::Withdraw { host, out: true }]) {
+            if reply.take(true, &everyone, 1.0, &[Order::Withdraw { host, out: true }]) {
                 present.held.insert(host);
             }
         }
@@ -827,13 +782,13 @@
             let share =
                 |(host, weight): &(HostId, f64)| Order::Share { tbl: *tbl, host: *host, weight: *weight };
             let orders: Vec<Order> = changes.iter().map(share).collect();
-            if !orders.is_empty() && reply.take(Haste::Paced, &users, orders.len() as f64, &orders) {
+            if !orders.is_empty() && reply.take(false, &users, orders.len() as f64, &orders) {
                 standing.extend(changes);
                 standing.retain(|_, weight| *weight > 0.0);
             }
         }
         for host in present.held.clone().difference(&wanted.held).copied() {
-            if reply.take(Haste::Paced, &everyone, 1.0, &[Order::Withdraw { host, out: false }]) {
+            if reply.take(false, &everyone, 1.0, &[Order::Withdraw { host, out: false }]) {
                 present.held.remove(&host);
             }
         }
@@ -841,7 +796,7 @@
             if present.binds.get(&(proxy, confined)) != Some(&tbl) {
                 let lines = present.lines.get(&tbl).map_or(0, BTreeMap::len) + self.products.len();
                 let bind = Order::Bind { proxy, tbl, products: masks[usize::from(confined)] };
-                if reply.take(Haste::AtOnce, &[proxy], 2.0 * lines as f64 + 1.0, &[bind]) {
+                if reply.take(true, &[proxy], 2.0 * lines as f64 + 1.0, &[bind]) {
                     present.binds.insert((proxy, confined), tbl);
                 }
             }
@@ -849,7 +804,7 @@
         for (&(tbl, products), &(level, tries)) in &wanted.levels {
             let order = Order::Admit { tbl, products, level, tries };
             let differs = present.levels.get(&(tbl, products)) != Some(&(level, tries));
-            if differs && reply.take(Haste::Paced, &present.users(tbl), 1.0, &[order]) {
+            if differs && reply.take(false, &present.users(tbl), 1.0, &[order]) {
                 present.levels.insert((tbl, products), (level, tries));
             }
         }
