A zone's levels keep its cold hosts' budget; leaner gate; more traces

Now, while any host of a zone is cold, the zone's levels are bounded by half the stated multiple of the best rate seen, spread over what its lines may carry; neighbours are replanned at once when a zone's weight moves by a fifth. Traces found two faults: with an even number of hosts half failing was taken for all, and where every product is confined the empty product set bound them to the other table.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,10 @@
     fn good(&self) -> f64 {
         self.tries - self.voided
     }
+    /// Good answers a second, by the time that the sums cover.
+    fn rate(&self) -> f64 {
+        1_000.0 * self.good() / self.over.max(1_000.0)
+    }
     fn mean(&self) -> f64 {
         self.took / self.good().max(1.0)
     }
@@ -98,15 +102,10 @@
 /// A window of late sums as one more probe. Only what stands out from the other hosts counts: if
 /// all worsen together it is load, the path or something shared. A host that answers slowly beside
 /// what it voids is overrun, not bad: gating it would overrun the next.
-fn judge_sums(real: &Tally, usual_part: f64, sla: f64) -> Verdict {
+fn fails_txns(real: &Tally, usual_part: f64, sla: f64) -> bool {
     let part = real.voided_part();
-    let stands_out = real.tries >= 5.0 && part > 0.3 && part > usual_part + 0.25;
     let overrun = real.good() >= 1.0 && real.mean() > 0.7 * sla;
-    if stands_out && !overrun {
-        Verdict::Fail
-    } else {
-        Verdict::Neither
-    }
+    real.tries >= 5.0 && part > 0.3 && part > usual_part + 0.25 && !overrun
 }
 
 #[derive(Default)]
@@ -117,7 +116,6 @@
     shut_at: f64,
     /// Real txns failed, not probes: passing probes say little about the return.
     by_sums: bool,
-    unreachable: bool,
     relapses: i32,
     trial_until: f64,
 }
@@ -143,7 +141,7 @@
         let first = if self.by_sums { 8_000.0 } else { 0.0 };
         let again = if self.relapses > 0 { 4_000.0 * 2f64.powi(self.relapses.min(3)) } else { 0.0 };
         if self.shut && self.passes >= PASSES_TO_LIFT && now >= self.shut_at + f64::max(first, again) {
-            let in_part = self.by_sums || self.relapses > 0;
+            let in_part = self.relapses > 0;
             self.trial_until = now + if in_part { trial } else { 0.0 };
             (self.shut, self.by_sums, self.fails) = (false, false, 0);
         }
@@ -172,11 +170,10 @@
     }
 
     /// The part of its listed weight that a host may carry; none: it stays out. A cold host comes
-    /// back in few steps, each below what the slowest warming allows at that age. Where the fleet
-    /// settles little of what is sent, as much more is sent to it too: it waits to keep its budget.
-    fn part(&self, now: f64, warmup: &Warmup, calm: f64) -> Option<f64> {
+    /// back in few steps, each below what the slowest warming allows at that age.
+    fn part(&self, now: f64, warmup: &Warmup) -> Option<f64> {
         let age = self.cold_since.map_or(1.0, |since| (now - since) / warmup.within);
-        let able = if age < 1.0 { (warmup.from + (1.0 - warmup.from) * age) * calm } else { 1.0 };
+        let able = if age < 1.0 { warmup.from + (1.0 - warmup.from) * age } else { 1.0 };
         let step = [(1.0, 0.9), (0.5, 0.5), (0.25, 0.25)].into_iter().find(|(_, needs)| able >= *needs)?.0;
         let trial = if now < self.gate.trial_until { 0.25 } else { 1.0 };
         Some(f64::min(step, trial) * self.pace)
@@ -197,10 +194,6 @@
             (self.pace, self.paced_at) = (f64::min(1.0, self.pace / 0.6), now);
         }
     }
-
-    fn warm(&self, now: f64, within: f64) -> bool {
-        self.cold_since.is_none_or(|since| now - since >= within)
-    }
 }
 
 struct Proxy {
@@ -219,13 +212,12 @@
     }
 }
 
-// ---------------------------------------------------------------- neighbours' hosts
-
 /// The part of its weight that a zone's host has in another zone's table, by (table, hosts).
 #[derive(Default)]
 struct Spill {
     parts: BTreeMap<(ZoneId, ZoneId), f64>,
     planned_at: Option<f64>,
+    planned: Vec<f64>,
 }
 
 impl Spill {
@@ -233,10 +225,11 @@
     /// skewed demand and lost hosts alike. Costs crossings, as few as the excess asks for. Parts
     /// are sticky and in quarters, so that small shifts write no orders.
     fn plan(&mut self, now: f64, weights: &[f64], demands: &[f64], movable: f64) {
-        if self.planned_at.is_some_and(|at| now < at + 2_000.0) {
+        let moved = weights.iter().zip(&self.planned).any(|(new, old)| (new - old).abs() > 0.2 * old);
+        if !moved && self.planned_at.is_some_and(|at| now < at + 2_000.0) {
             return;
         }
-        self.planned_at = Some(now);
+        (self.planned_at, self.planned) = (Some(now), weights.to_vec());
         let fair = demands.iter().sum::<f64>() / weights.iter().sum::<f64>().max(1e-9);
         let room: Vec<f64> = weights.iter().zip(demands).map(|(w, d)| (w * fair - d).max(0.0)).collect();
         let all_room = room.iter().sum::<f64>().max(1e-9);
@@ -255,14 +248,11 @@
     }
 }
 
-// ---------------------------------------------------------------- levels
-
 /// What a zone asks of one product: a rate at each of its proxies.
 struct Ask {
     id: ProductId,
+    product: Product,
     rates: Vec<f64>,
-    sla: f64,
-    revenue: f64,
 }
 
 impl Ask {
@@ -271,7 +261,7 @@
     }
     /// The work asked for; the SLA time stands in for the work of one, which is not told.
     fn work(&self) -> f64 {
-        self.total() * self.sla
+        self.total() * self.product.sla
     }
 }
 
@@ -312,9 +302,10 @@
     }
 
     /// Sheds the least revenue per work first, and leaves of each product a tenth.
-    fn split(&self, mut asks: Vec<Ask>, kind: LevelKind) -> Vec<(ProductId, f64, Tries)> {
-        asks.sort_by(|a, b| (a.revenue / a.sla).total_cmp(&(b.revenue / b.sla)));
-        let mut shed = (1.0 - self.share) * asks.iter().map(Ask::work).sum::<f64>();
+    fn split(&self, mut asks: Vec<Ask>, most: f64, kind: LevelKind) -> Vec<(ProductId, f64, Tries)> {
+        let pays = |ask: &Ask| ask.product.revenue / ask.product.sla;
+        asks.sort_by(|a, b| pays(a).total_cmp(&pays(b)));
+        let mut shed = (1.0 - self.share.min(most)) * asks.iter().map(Ask::work).sum::<f64>();
         let tries = if self.pressed { Tries::One } else { Tries::AfterProof };
         let levels = asks.into_iter().map(|ask| {
             let cut = f64::min(shed, 0.9 * ask.work());
@@ -347,8 +338,6 @@
     1e6
 }
 
-// ---------------------------------------------------------------- the list
-
 struct Watch {
     roster: Roster,
     asked_at: Option<f64>,
@@ -461,10 +450,10 @@
     proxies: BTreeMap<ProxyId, Proxy>,
     spill: Spill,
     levels: BTreeMap<ZoneId, Level>,
-    /// The voided part of tries at the median host, and what is left of a cold host's budget: half
-    /// of it, for chance, over how much more is sent than gets settled.
+    /// The voided part of tries at the median host.
     usual_voided: f64,
-    calm: f64,
+    /// Good answers a second for each unit of weight: the best seen, forgotten by and by.
+    best: f64,
     present: Plan,
     draws: u64,
 }
@@ -509,7 +498,7 @@
         #[rustfmt::skip]
         let steward = Steward {
             post, products, sidecars, warmup, sums, watch, queue, hosts, proxies, spill, levels,
-            usual_voided: 0.0, calm: 1.0, present, draws: 0,
+            usual_voided: 0.0, best: 0.0, present, draws: 0,
         };
         steward
     }
@@ -556,14 +545,6 @@
                 if let Some(host) = self.hosts.get_mut(host) {
                     let verdict = judge_probe(*outcome, &host.met(now, self.sums.every + BUCKET));
                     host.gate.count(now, verdict, 1, true);
-                    // Silent and back: it may have started anew before the list knows.
-                    let back = verdict == Verdict::Pass && host.gate.unreachable && host.gate.shut;
-                    if back && host.cold_since.is_none_or(|since| since < host.gate.shut_at) {
-                        host.cold_since = Some(now);
-                    }
-                    if matches!(outcome, Outcome::Unreachable | Outcome::Answered) {
-                        host.gate.unreachable = *outcome == Outcome::Unreachable;
-                    }
                 }
             }
             Event::Applied { proxy, mark, .. } => self.queue.applied(*proxy, *mark),
@@ -619,27 +600,25 @@
     fn judge(&mut self, now: f64) {
         let (window, long, sla) = (self.sums.every + BUCKET, self.sums.every + 2_000.0, self.sla());
         let on = || self.hosts.values().filter(|host| host.standing == Standing::On);
-        let reals: Vec<Tally> = on().map(|host| host.met(now, window)).collect();
-        let all_real = reals.iter().fold(Tally::default(), |sum, real| sum.plus(*real));
-        let tried = reals.iter().filter(|real| real.tries >= 3.0);
-        let usual = median(tried.map(Tally::voided_part).collect());
+        let tried = on().map(|host| host.met(now, window)).filter(|real| real.tries >= 3.0);
+        // Of an even number the upper median counts: of settled parts, to see half that fail.
+        let usual = 1.0 - median(tried.map(|real| 1.0 - real.voided_part()).collect());
         let means = on().map(|host| host.met(now, long)).filter(|real| real.good() >= 6.0);
         let usual_mean = median(means.map(|real| real.mean()).collect());
         let all: f64 = on().map(|host| host.weight).sum();
         let mut shut: f64 = on().filter(|host| host.gate.shut).map(|host| host.weight).sum();
-        let settled = 1.0 - all_real.voided_part();
-        (self.usual_voided, self.calm) = (usual, f64::min(1.0, 0.5 * self.warmup.multiple * settled));
+        self.usual_voided = usual;
         for host in self.hosts.values_mut().filter(|host| host.standing == Standing::On) {
             if host.summed_at == now {
                 let real = host.met(now, window);
-                let verdict = judge_sums(&real, usual, sla);
                 host.ease(now, &host.met(now, long), usual_mean, sla, self.sums.every);
                 // The rest must carry what is gated by sums: a third of the fleet at the most.
-                let may = shut + host.weight <= 0.34 * all;
-                let before = host.gate.shut;
-                host.gate.count(now, verdict, 1 + (self.sums.every / PROBE_PERIOD) as u32, may);
-                host.gate.by_sums |= host.gate.shut && verdict == Verdict::Fail;
-                shut += if host.gate.shut && !before { host.weight } else { 0.0 };
+                if fails_txns(&real, usual, sla) {
+                    let (may, before) = (shut + host.weight <= 0.34 * all, host.gate.shut);
+                    host.gate.count(now, Verdict::Fail, 1 + (self.sums.every / PROBE_PERIOD) as u32, may);
+                    host.gate.by_sums |= host.gate.shut;
+                    shut += if host.gate.shut && !before { host.weight } else { 0.0 };
+                }
             }
             host.gate.lift(now, 2.0 * self.sums.every + 1_500.0);
         }
@@ -661,7 +640,7 @@
             let id = ProductId(place as u16);
             let there = self.proxies.values().filter(|proxy| proxy.zone == zone);
             let rates = there.map(|proxy| proxy.rate(now, id, self.products.len())).collect();
-            Ask { id, rates, sla: product.sla, revenue: product.revenue }
+            Ask { id, product: product.clone(), rates }
         };
         self.products.iter().enumerate().map(ask).collect()
     }
@@ -671,7 +650,7 @@
         let zones: Vec<ZoneId> = (0..self.post.zones).map(ZoneId).collect();
         let confined = self.products.iter().any(|product| product.own_zone);
         let on = self.hosts.iter().filter(|(_, host)| host.standing == Standing::On);
-        let part = |(id, host): (&HostId, &Host)| Some((*id, host.part(now, &self.warmup, self.calm)?));
+        let part = |(id, host): (&HostId, &Host)| Some((*id, host.part(now, &self.warmup)?));
         let parts: BTreeMap<HostId, f64> = on.filter_map(part).collect();
         let open = |(id, host): &(&HostId, &Host)| !host.gate.shut && parts.contains_key(id);
         let zones_open: Vec<ZoneId> = self.hosts.iter().filter(open).map(|(_, host)| host.zone).collect();
@@ -689,9 +668,12 @@
         });
         let weights: Vec<f64> = weights.collect();
         let demands: Vec<f64> = asks.iter().map(|asks| asks.iter().map(Ask::total).sum()).collect();
-        let free = asks.iter().flatten().filter(|ask| !self.products[ask.id.0 as usize].own_zone);
+        let free = asks.iter().flatten().filter(|ask| !ask.product.own_zone);
         let movable = free.map(Ask::total).sum::<f64>() / demands.iter().sum::<f64>().max(1e-9);
         self.spill.plan(now, &weights, &demands, movable);
+        let rings = self.hosts.values().flat_map(|host| host.met.values());
+        let good: f64 = rings.map(|ring| ring.last(now, self.sums.every + BUCKET).rate()).sum();
+        self.best = f64::max(self.best * 0.999, good / weights.iter().sum::<f64>().max(1e-9));
         let mut usable = BTreeMap::new();
         for zone in &zones {
             let (mut any, mut own, mut sum) = (BTreeMap::new(), BTreeMap::new(), 0.0);
@@ -706,7 +688,7 @@
                 }
                 if joins > 0.0 && (held || !host.gate.shut || zones_open.is_empty()) {
                     any.insert(*id, host.weight * part * joins);
-                    sum += if !held && host.warm(now, self.warmup.within) { host.weight } else { 0.0 };
+                    sum += if held { 0.0 } else { host.weight * part * joins };
                 }
             }
             usable.insert(self.tbl(*zone, false), sum);
@@ -720,33 +702,48 @@
         for (id, proxy) in &self.proxies {
             let home = self.tbl(proxy.zone, false);
             let carried = usable.get(&home).is_some_and(|sum| *sum > 0.0);
-            plan.binds.insert((*id, false), if carried { home } else { widest.unwrap_or(home) });
+            if self.products_of(false) != Products::ALL {
+                plan.binds.insert((*id, false), if carried { home } else { widest.unwrap_or(home) });
+            }
             if confined {
                 plan.binds.insert((*id, true), self.tbl(proxy.zone, true));
             }
         }
         for (zone, asks) in zones.iter().zip(asks) {
-            self.admit(now, *zone, asks, &mut plan);
+            // Guards a zone that comes back all cold at once: shares are of what is asked, and the
+            // few that are back would get it all. Their budget, as of the best rate seen, bounds it.
+            let warming = |host: &Host| host.cold_since.is_some_and(|since| now < since + self.warmup.within);
+            let there = parts.keys().map(|id| &self.hosts[id]).filter(|host| host.zone == *zone);
+            let any_cold = there.filter(|host| warming(host)).count() > 0;
+            let load = |confined: bool| -> f64 {
+                let lines = plan.lines.get(&self.tbl(*zone, confined));
+                let sum: f64 =
+                    lines.into_iter().flatten().filter(|l| !plan.held.contains(l.0)).map(|l| l.1).sum();
+                let asked = asks.iter().filter(|ask| ask.product.own_zone == confined);
+                asked.map(Ask::total).sum::<f64>() / sum.max(1e-9)
+            };
+            let budget = 0.5 * self.warmup.multiple * self.best / (load(false) + load(true)).max(1e-9);
+            let most = if any_cold && self.best > 0.0 { budget.min(1.0) } else { 1.0 };
+            self.admit(now, *zone, asks, most, &mut plan);
         }
         plan
     }
 
     /// Levels, zone by zone, from the zone's own figures: what its proxies met and what came.
-    fn admit(&mut self, now: f64, zone: ZoneId, asks: Vec<Ask>, plan: &mut Plan) {
+    fn admit(&mut self, now: f64, zone: ZoneId, asks: Vec<Ask>, most: f64, plan: &mut Plan) {
         let window = self.sums.every + BUCKET;
         let sla = self.sla();
         let hosts = self.hosts.values().filter(|host| !host.gate.shut);
         let met = hosts.filter_map(|host| host.met.get(&zone)).map(|ring| ring.last(now, window));
-        let met: Vec<Tally> =
-            met.filter(|m| judge_sums(m, self.usual_voided, sla) != Verdict::Fail).collect();
-        let settled = met.iter().map(|met| 1_000.0 * met.good() / met.over.max(self.sums.every)).sum();
+        let met: Vec<Tally> = met.filter(|met| !fails_txns(met, self.usual_voided, sla)).collect();
+        let settled = met.iter().map(Tally::rate).sum();
         let real = met.into_iter().fold(Tally::default(), Tally::plus);
         let fresh = Level { share: 1.0, judged_at: f64::MIN, pressed: false };
         let level = self.levels.entry(zone).or_insert(fresh);
         if self.sidecars.levels != LevelKind::Off {
             level.judge(now, &real, settled, &asks, self.sums.every);
         }
-        for (id, level, tries) in level.split(asks, self.sidecars.levels) {
+        for (id, level, tries) in level.split(asks, most, self.sidecars.levels) {
             let tbl = self.tbl(zone, self.products[id.0 as usize].own_zone);
             plan.levels.insert((tbl, Products::one(id)), (level, tries));
         }
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -22,7 +22,15 @@
         Fleet::with(zones, hosts, vec![product(Effect::InquiryLike)], LevelKind::Off)
     }
 
+    pub fn asked(zones: u16, hosts: u32) -> Fleet {
+        Fleet::made(zones, hosts, vec![product(Effect::InquiryLike)], LevelKind::Off, true)
+    }
+
     pub fn with(zones: u16, hosts: u32, products: Vec<Product>, levels: LevelKind) -> Fleet {
+        Fleet::made(zones, hosts, products, levels, false)
+    }
+
+    fn made(zones: u16, hosts: u32, products: Vec<Product>, levels: LevelKind, asked: bool) -> Fleet {
         let post = Post { seed: 1, zone: ZoneId(0), zones, slices: 0, may_probe: true };
         let channel = Channel {
             lines_per_s: 1_000.0,
@@ -36,7 +44,7 @@
         let usual_tries = Tries::AfterProof;
         let sidecars = Sidecars { count: 4, bare_for: 3_000.0, levels, usual_tries, try_wait: 0.8 };
         let warmup = Warmup { from: 0.2, within: 20_000.0, multiple: 3.0, fall_after: 2_000.0 };
-        let roster = Roster { asked: false, ask_within: 1e4, grace: 2e3, removal_not_binding: false };
+        let roster = Roster { asked, ask_within: 1e4, grace: 2e3, removal_not_binding: false };
         let sums = Sums { every: 1_000.0, lines_per_s: 100.0 };
         let steward = Steward::new(post, products, channel, sidecars, warmup, roster, sums);
         let mut fleet = Fleet { steward, trace: String::new(), now: 1_000.0, zones };
@@ -76,6 +84,16 @@
         }
     }
 
+    pub fn met(&mut self, host: u32, zone: u16, tries: u32, voided: u32, mean: f64) {
+        let (host, zone, report) = (HostId(host), ZoneId(zone), LoadReport::default());
+        self.say(&[Event::Met { host, zone, over: 1_000.0, tries, voided, mean, report }]);
+    }
+
+    pub fn came(&mut self, proxy: u16, product: u16, txns: u32) {
+        let (proxy, product) = (ProxyId(proxy), ProductId(product));
+        self.say(&[Event::Came { proxy, product, txns, voided: 0, over: 1_000.0 }]);
+    }
+
     /// Lets so many ticks pass.
     pub fn run(&mut self, ticks: u32) {
         for _ in 0..ticks {
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -64,3 +64,200 @@
     "#]]
     .assert_eq(&fleet.trace);
 }
+
+/// Incident on nadi-campus: a whole zone came back cold at once, and the first were pushed over.
+#[test]
+fn a_zone_that_comes_back_cold_lets_in_what_its_hosts_can_do() {
+    let confined = Product { own_zone: true, ..fleet::product(Effect::OnceOnly) };
+    let mut fleet = Fleet::with(2, 4, vec![confined], LevelKind::Share);
+    fleet.join(0);
+    fleet.join(1);
+    for _ in 0..4 {
+        fleet.run(5);
+        for host in 0..4 {
+            fleet.met(host, 0, 5, 0, 100.0);
+        }
+        fleet.came(0, 0, 10);
+        fleet.came(1, 0, 10);
+    }
+    fleet.trace.clear();
+    let born = Some(fleet.now);
+    fleet.list(0, Standing::On, born);
+    fleet.list(2, Standing::On, born);
+    for _ in 0..30 {
+        fleet.run(5);
+        fleet.came(0, 0, 10);
+        fleet.came(1, 0, 10);
+    }
+    expect![[r#"
+        5000 withdraw host0
+        5000 t0 host0 weight 0
+        5000 t0 host1 weight 1
+        5000 t0 host3 weight 1
+        5000 t2 host0 weight 0
+        5000 withdraw host2
+        5000 t0 host1 weight 0
+        5000 t0 host2 weight 0
+        5000 t0 host3 weight 0
+        5000 t2 host2 weight 0
+        6400 t0 host0 weight 0.25
+        6400 t0 host1 weight 1
+        6400 t0 host2 weight 0.25
+        6400 t0 host3 weight 1
+        6400 t2 host0 weight 0.25
+        6400 t2 host2 weight 0.25
+        6400 restore host0
+        6400 restore host2
+        6400 admit t2 for 1: 0.75 AfterProof
+        11000 admit t2 for 1: 0.7 AfterProof
+        12600 t0 host0 weight 0.5
+        12600 t0 host2 weight 0.5
+        12600 t2 host0 weight 0.5
+        12600 t2 host2 weight 0.5
+        12600 admit t2 for 1: 1 AfterProof
+        22600 t0 host1 weight 0
+        22600 t0 host3 weight 0
+        22600 t0 host0 weight 1
+        22600 t0 host2 weight 1
+        22600 t2 host0 weight 1
+        22600 t2 host2 weight 1
+    "#]]
+    .assert_eq(&fleet.trace);
+}
+
+/// Incident on ledger-sicilia: overrun hosts were gated one by one until the rest fell.
+#[test]
+fn a_host_that_errs_is_gated_and_one_that_is_overrun_is_not() {
+    let mut fleet = Fleet::new(1, 4);
+    fleet.join(0);
+    fleet.trace.clear();
+    for _ in 0..4 {
+        fleet.run(5);
+        fleet.met(0, 0, 10, 7, 20.0);
+        fleet.met(1, 0, 10, 7, 2_500.0);
+        fleet.met(2, 0, 10, 0, 100.0);
+        fleet.met(3, 0, 10, 0, 100.0);
+    }
+    expect![[r#"
+        3000 withdraw host0
+        3000 t0 host1 weight 0.5
+    "#]]
+    .assert_eq(&fleet.trace);
+}
+
+#[test]
+fn a_zone_asked_for_more_than_its_share_gets_its_neighbours_hosts() {
+    let mut fleet = Fleet::new(2, 4);
+    for proxy in [0, 2, 4, 1] {
+        fleet.join(proxy);
+    }
+    fleet.run(11);
+    expect![[r#"
+        1000 t0 host0 weight 1
+        1000 t0 host2 weight 1
+        1000 t1 host1 weight 1
+        1000 t1 host3 weight 1
+        1000 admit t0 for 1: 1 AfterProof
+        1000 admit t1 for 1: 1 AfterProof
+        1000 bind proxy0 to t0 for 1
+        1000 bind proxy2 to t0 for 1
+        1000 bind proxy4 to t0 for 1
+        1000 bind proxy1 to t1 for 1
+        3000 t0 host1 weight 0.5
+        3000 t0 host3 weight 0.5
+    "#]]
+    .assert_eq(&fleet.trace);
+}
+
+#[test]
+fn levels_shed_the_least_revenue_per_work_and_rise_again() {
+    let cheap = Product { revenue: 0.5, ..fleet::product(Effect::InquiryLike) };
+    let mut fleet = Fleet::with(1, 2, vec![cheap, fleet::product(Effect::OnceOnly)], LevelKind::Share);
+    fleet.join(0);
+    fleet.trace.clear();
+    for second in 0..12 {
+        fleet.run(5);
+        let (voided, mean) = if second < 3 { (8, 900.0) } else { (0, 100.0) };
+        fleet.met(0, 0, 20, voided, mean);
+        fleet.met(1, 0, 20, voided, mean);
+        fleet.came(0, 0, 20);
+        fleet.came(0, 1, 20);
+    }
+    expect![[r#"
+        2000 admit t0 for 1: 1 One
+        2000 admit t0 for 10: 1 One
+        3000 admit t0 for 1: 0.5 One
+        4000 admit t0 for 1: 0.2 One
+        6000 admit t0 for 1: 0.5 AfterProof
+        6000 admit t0 for 10: 1 AfterProof
+        7000 admit t0 for 1: 0.9 AfterProof
+        8000 admit t0 for 1: 1 AfterProof
+    "#]]
+    .assert_eq(&fleet.trace);
+}
+
+#[test]
+fn a_list_that_fails_is_asked_again_ever_more_rarely() {
+    let mut fleet = Fleet::asked(1, 2);
+    for _ in 0..3 {
+        fleet.say(&[Event::List { news: ListNews::Failed, entries: vec![] }]);
+        fleet.run(20);
+    }
+    expect![[r#"
+        1000 watch true
+        1000 t0 host0 weight 1
+        1000 t0 host1 weight 1
+        1000 admit t0 for 1: 1 AfterProof
+        2400 watch true
+        5000 watch true
+        9400 watch true
+    "#]]
+    .assert_eq(&fleet.trace);
+}
+
+#[test]
+fn binds_wait_for_the_channel_and_start_over_with_a_new_stream() {
+    let mut fleet = Fleet::new(1, 12);
+    for proxy in 0..12 {
+        fleet.join(proxy);
+    }
+    fleet.note("no answer to any mark yet");
+    fleet.run(5);
+    for proxy in 0..6 {
+        fleet.say(&[Event::Applied { proxy: ProxyId(proxy), mark: MarkId(proxy), took: 300.0 }]);
+    }
+    fleet.note("proxy3 leaves and returns");
+    fleet.say(&[Event::Left { proxy: ProxyId(3) }]);
+    fleet.join(3);
+    expect![[r#"
+        1000 t0 host0 weight 1
+        1000 t0 host1 weight 1
+        1000 t0 host2 weight 1
+        1000 t0 host3 weight 1
+        1000 t0 host4 weight 1
+        1000 t0 host5 weight 1
+        1000 t0 host6 weight 1
+        1000 t0 host7 weight 1
+        1000 t0 host8 weight 1
+        1000 t0 host9 weight 1
+        1000 t0 host10 weight 1
+        1000 t0 host11 weight 1
+        1000 admit t0 for 1: 1 AfterProof
+        1000 bind proxy0 to t0 for 1
+        1000 bind proxy1 to t0 for 1
+        1000 bind proxy2 to t0 for 1
+        1000 bind proxy3 to t0 for 1
+        1000 bind proxy4 to t0 for 1
+        1000 bind proxy5 to t0 for 1
+        1000 bind proxy6 to t0 for 1
+        1000 bind proxy7 to t0 for 1
+        1000 no answer to any mark yet
+        2000 bind proxy8 to t0 for 1
+        2000 bind proxy9 to t0 for 1
+        2000 bind proxy10 to t0 for 1
+        2000 bind proxy11 to t0 for 1
+        2000 proxy3 leaves and returns
+        2000 bind proxy3 to t0 for 1
+    "#]]
+    .assert_eq(&fleet.trace);
+}
