A zone left without a host takes all of its neighbours' on; first fails are asked after

Now a first failed probe is asked after every 200 ms until it passes or gates, and a zone with no open host gets all of its neighbours' hosts into its own table, at once; binding elsewhere remains for a table that still has none. Asking after a fail holds against every quick failure; it may hurt a host that is short of probe room.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -139,10 +139,9 @@
     /// doubles the wait, and it comes back in part. It holds back by as much a host that is well.
     fn lift(&mut self, now: f64, trial: f64) {
         let first = if self.by_sums { 8_000.0 } else { 0.0 };
-        let again = if self.relapses > 0 { 4_000.0 * 2f64.powi(self.relapses.min(3)) } else { 0.0 };
-        if self.shut && self.passes >= PASSES_TO_LIFT && now >= self.shut_at + f64::max(first, again) {
-            let in_part = self.relapses > 0;
-            self.trial_until = now + if in_part { trial } else { 0.0 };
+        let wait = f64::max(first, 4_000.0 * (2f64.powi(self.relapses.min(4)) - 1.0));
+        if self.shut && self.passes >= PASSES_TO_LIFT && now >= self.shut_at + wait {
+            self.trial_until = now + if self.relapses > 0 { trial } else { 0.0 };
             (self.shut, self.by_sums, self.fails) = (false, false, 0);
         }
     }
@@ -216,8 +215,7 @@
 #[derive(Default)]
 struct Spill {
     parts: BTreeMap<(ZoneId, ZoneId), f64>,
-    planned_at: Option<f64>,
-    planned: Vec<f64>,
+    planned: Option<(f64, Vec<f64>)>,
 }
 
 impl Spill {
@@ -225,21 +223,23 @@
     /// skewed demand and lost hosts alike. Costs crossings, as few as the excess asks for. Parts
     /// are sticky and in quarters, so that small shifts write no orders.
     fn plan(&mut self, now: f64, weights: &[f64], demands: &[f64], movable: f64) {
-        let moved = weights.iter().zip(&self.planned).any(|(new, old)| (new - old).abs() > 0.2 * old);
-        if !moved && self.planned_at.is_some_and(|at| now < at + 2_000.0) {
+        let near = |(new, old): (&f64, &f64)| (new - old).abs() <= 0.2 * old;
+        let stands = |(at, old): &(f64, Vec<f64>)| now < at + 2_000.0 && weights.iter().zip(old).all(near);
+        if self.planned.as_ref().is_some_and(stands) {
             return;
         }
-        (self.planned_at, self.planned) = (Some(now), weights.to_vec());
+        self.planned = Some((now, weights.to_vec()));
         let fair = demands.iter().sum::<f64>() / weights.iter().sum::<f64>().max(1e-9);
         let room: Vec<f64> = weights.iter().zip(demands).map(|(w, d)| (w * fair - d).max(0.0)).collect();
         let all_room = room.iter().sum::<f64>().max(1e-9);
         for (place, (weight, demand)) in weights.iter().zip(demands).enumerate() {
             let out = f64::min(0.95, (demand - weight * fair).max(0.0) / (movable * demand).max(1e-9));
             for other in (0..weights.len()).filter(|other| *other != place) {
+                // A zone with no host left takes all of its neighbours' on.
                 let flow = out * room[other] / all_room;
-                let exact = flow * weight / (1.0 - out) / weights[other].max(1e-9);
-                let pair = (ZoneId(place as u16), ZoneId(other as u16));
-                let part = self.parts.entry(pair).or_insert(0.0);
+                let each = flow * weight / (1.0 - out) / weights[other].max(1e-9);
+                let exact = if *weight > 0.0 { each } else { 1.0 };
+                let part = self.parts.entry((ZoneId(place as u16), ZoneId(other as u16))).or_insert(0.0);
                 if (exact - *part).abs() > 0.2 {
                     *part = (exact * 4.0).round().min(4.0) / 4.0;
                 }
@@ -340,7 +340,7 @@
 
 struct Watch {
     roster: Roster,
-    asked_at: Option<f64>,
+    asked_at: f64,
     failures: i32,
     watching: bool,
 }
@@ -349,9 +349,9 @@
     /// Where the list must be asked it is watched; after a failure asked again, ever more rarely.
     fn ask(&mut self, now: f64, chance: f64, out: &mut Vec<Order>) {
         let wait = 600.0 * 2f64.powi(self.failures.min(3)) * (0.75 + 0.5 * chance);
-        let due = self.asked_at.is_none_or(|at| now >= at + wait);
+        let due = now >= self.asked_at + wait;
         if self.roster.asked && !self.watching && due {
-            (self.asked_at, self.watching) = (Some(now), true);
+            (self.asked_at, self.watching) = (now, true);
             out.push(Order::Watch { on: true });
         }
     }
@@ -441,6 +441,8 @@
 pub struct Steward {
     post: Post,
     products: Vec<Product>,
+    /// The SLA time of the products at large.
+    sla: f64,
     sidecars: Sidecars,
     warmup: Warmup,
     sums: Sums,
@@ -491,14 +493,15 @@
         roster: Roster,
         sums: Sums,
     ) -> Self {
-        let watch = Watch { roster, asked_at: None, failures: 0, watching: false };
+        let watch = Watch { roster, asked_at: f64::MIN, failures: 0, watching: false };
         let queue = Queue { channel, sent: VecDeque::new(), marks: 0 };
-        let (hosts, proxies, levels) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         let (spill, present) = (Spill::default(), Plan::default());
+        let sla = products.iter().map(|product| product.sla).sum::<f64>() / products.len().max(1) as f64;
         #[rustfmt::skip]
         let steward = Steward {
-            post, products, sidecars, warmup, sums, watch, queue, hosts, proxies, spill, levels,
-            usual_voided: 0.0, best: 0.0, present, draws: 0,
+            post, products, sla, sidecars, warmup, sums, watch, queue, spill, present,
+            hosts: BTreeMap::new(), proxies: BTreeMap::new(), levels: BTreeMap::new(),
+            usual_voided: 0.0, best: 0.0, draws: 0,
         };
         steward
     }
@@ -511,8 +514,6 @@
         hasher.finish() as f64 / u64::MAX as f64
     }
 
-    // ------------------------------------------------------------ what is heard
-
     fn hear(&mut self, now: f64, event: &Event) {
         match event {
             Event::List { news: ListNews::Failed, .. } => {
@@ -585,20 +586,17 @@
     fn probe(&mut self, now: f64, out: &mut Vec<Order>) {
         let on = self.hosts.iter_mut().filter(|(_, host)| host.standing == Standing::On);
         for (id, host) in on.filter(|_| self.post.may_probe) {
-            if now >= host.probed_at + PROBE_PERIOD - 1.0 {
+            // A first fail is asked after at once: a run then takes under a second to show.
+            let asked_after = host.gate.fails > 0 && !host.gate.shut;
+            if now >= host.probed_at + if asked_after { TICK } else { PROBE_PERIOD } - 1.0 {
                 host.probed_at = now;
                 out.push(Order::Probe { host: *id });
             }
         }
     }
 
-    /// The SLA time of the products at large.
-    fn sla(&self) -> f64 {
-        self.products.iter().map(|product| product.sla).sum::<f64>() / self.products.len().max(1) as f64
-    }
-
     fn judge(&mut self, now: f64) {
-        let (window, long, sla) = (self.sums.every + BUCKET, self.sums.every + 2_000.0, self.sla());
+        let (window, long, sla) = (self.sums.every + BUCKET, self.sums.every + 2_000.0, self.sla);
         let on = || self.hosts.values().filter(|host| host.standing == Standing::On);
         let tried = on().map(|host| host.met(now, window)).filter(|real| real.tries >= 3.0);
         // Of an even number the upper median counts: of settled parts, to see half that fail.
@@ -624,8 +622,6 @@
         }
     }
 
-    // ------------------------------------------------------------ what is wanted
-
     fn tbl(&self, zone: ZoneId, confined: bool) -> TblId {
         TblId(zone.0 + if confined { self.post.zones } else { 0 })
     }
@@ -675,33 +671,31 @@
         let good: f64 = rings.map(|ring| ring.last(now, self.sums.every + BUCKET).rate()).sum();
         self.best = f64::max(self.best * 0.999, good / weights.iter().sum::<f64>().max(1e-9));
         let mut usable = BTreeMap::new();
-        for zone in &zones {
-            let (mut any, mut own, mut sum) = (BTreeMap::new(), BTreeMap::new(), 0.0);
-            for (id, part) in &parts {
-                let host = &self.hosts[id];
-                let pair = (*zone, host.zone);
-                let joins =
-                    if host.zone == *zone { 1.0 } else { *self.spill.parts.get(&pair).unwrap_or(&0.0) };
-                let held = plan.held.contains(id);
-                if host.zone == *zone {
-                    own.insert(*id, host.weight * part);
-                }
-                if joins > 0.0 && (held || !host.gate.shut || zones_open.is_empty()) {
-                    any.insert(*id, host.weight * part * joins);
-                    sum += if held { 0.0 } else { host.weight * part * joins };
-                }
-            }
-            usable.insert(self.tbl(*zone, false), sum);
-            plan.lines.insert(self.tbl(*zone, false), any);
-            if confined {
-                plan.lines.insert(self.tbl(*zone, true), own);
+        for (zone, own) in zones.iter().flat_map(|zone| [(*zone, false), (*zone, true)]) {
+            let joins = |host: &Host| match self.spill.parts.get(&(zone, host.zone)) {
+                _ if host.zone == zone => 1.0,
+                Some(part) if !own => *part,
+                _ => 0.0,
+            };
+            let takes = |id: &HostId, host: &Host| {
+                own || plan.held.contains(id) || !host.gate.shut || zones_open.is_empty()
+            };
+            let there = parts.iter().map(|(id, part)| (id, part, &self.hosts[id]));
+            let there = there.filter(|(id, _, host)| joins(host) > 0.0 && takes(id, host));
+            let line = |(id, part, host): (&HostId, &f64, &Host)| (*id, host.weight * part * joins(host));
+            let lines: BTreeMap<HostId, f64> = there.map(line).collect();
+            let open = lines.iter().filter(|(id, _)| !plan.held.contains(id));
+            usable.insert(self.tbl(zone, own), open.map(|(_, weight)| *weight).sum::<f64>());
+            if confined || !own {
+                plan.lines.insert(self.tbl(zone, own), lines);
             }
         }
         // A table with no host left to carry it: its proxies go to the one that has most.
-        let widest = usable.iter().max_by(|a, b| a.1.total_cmp(b.1)).map(|(tbl, _)| *tbl);
+        let any = usable.iter().filter(|(tbl, _)| tbl.0 < self.post.zones);
+        let widest = any.max_by(|a, b| a.1.total_cmp(b.1)).map(|(tbl, _)| *tbl);
         for (id, proxy) in &self.proxies {
             let home = self.tbl(proxy.zone, false);
-            let carried = usable.get(&home).is_some_and(|sum| *sum > 0.0);
+            let carried = usable.get(&home).is_some_and(|open| *open > 0.0);
             if self.products_of(false) != Products::ALL {
                 plan.binds.insert((*id, false), if carried { home } else { widest.unwrap_or(home) });
             }
@@ -715,12 +709,9 @@
             let warming = |host: &Host| host.cold_since.is_some_and(|since| now < since + self.warmup.within);
             let there = parts.keys().map(|id| &self.hosts[id]).filter(|host| host.zone == *zone);
             let any_cold = there.filter(|host| warming(host)).count() > 0;
-            let load = |confined: bool| -> f64 {
-                let lines = plan.lines.get(&self.tbl(*zone, confined));
-                let sum: f64 =
-                    lines.into_iter().flatten().filter(|l| !plan.held.contains(l.0)).map(|l| l.1).sum();
-                let asked = asks.iter().filter(|ask| ask.product.own_zone == confined);
-                asked.map(Ask::total).sum::<f64>() / sum.max(1e-9)
+            let load = |own: bool| -> f64 {
+                let asked = asks.iter().filter(|ask| ask.product.own_zone == own).map(Ask::total);
+                asked.sum::<f64>() / usable[&self.tbl(*zone, own)].max(1e-9)
             };
             let budget = 0.5 * self.warmup.multiple * self.best / (load(false) + load(true)).max(1e-9);
             let most = if any_cold && self.best > 0.0 { budget.min(1.0) } else { 1.0 };
@@ -732,14 +723,13 @@
     /// Levels, zone by zone, from the zone's own figures: what its proxies met and what came.
     fn admit(&mut self, now: f64, zone: ZoneId, asks: Vec<Ask>, most: f64, plan: &mut Plan) {
         let window = self.sums.every + BUCKET;
-        let sla = self.sla();
         let hosts = self.hosts.values().filter(|host| !host.gate.shut);
         let met = hosts.filter_map(|host| host.met.get(&zone)).map(|ring| ring.last(now, window));
-        let met: Vec<Tally> = met.filter(|met| !fails_txns(met, self.usual_voided, sla)).collect();
+        let met: Vec<Tally> = met.filter(|met| !fails_txns(met, self.usual_voided, self.sla)).collect();
         let settled = met.iter().map(Tally::rate).sum();
         let real = met.into_iter().fold(Tally::default(), Tally::plus);
-        let fresh = Level { share: 1.0, judged_at: f64::MIN, pressed: false };
-        let level = self.levels.entry(zone).or_insert(fresh);
+        let level =
+            self.levels.entry(zone).or_insert(Level { share: 1.0, judged_at: f64::MIN, pressed: false });
         if self.sidecars.levels != LevelKind::Off {
             level.judge(now, &real, settled, &asks, self.sums.every);
         }
@@ -779,7 +769,9 @@
             let share =
                 |(host, weight): &(HostId, f64)| Order::Share { tbl: *tbl, host: *host, weight: *weight };
             let orders: Vec<Order> = changes.iter().map(share).collect();
-            if !orders.is_empty() && reply.take(false, &users, orders.len() as f64, &orders) {
+            // Urgent for proxies that would be left bare.
+            let bare = standing.keys().all(|host| present.held.contains(host));
+            if !orders.is_empty() && reply.take(bare, &users, orders.len() as f64, &orders) {
                 standing.extend(changes);
                 standing.retain(|_, weight| *weight > 0.0);
             }
