--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -287,16 +287,10 @@
         if self.pressed {
             // Each sum covers its own time; so many of them came in.
             let settled = settled / came;
-            self.share = self.share.min(f64::max(1.0 * settled, 0.75 * self.share)).max(0.15);
+            self.share = self.share.min(f64::max(settled, 0.75 * self.share)).max(0.15);
         } else {
             // The more room the answers' time leaves, the longer the step.
-            let step = if slow < 0.2 {
-                1.25
-            } else if slow < 0.35 {
-                1.1
-            } else {
-                1.0
-            };
+            let step = (1.45 - slow).max(1.0);
             self.share = f64::min(1.0, self.share * step);
         }
     }
