Hosts of a slow kind step down together where no weights are listed

Pooled by kind two sums are enough. Acts only where every listed weight is 1, when a kind's mean is twice the quickest kind's and a quarter of the SLA time; hosts step to 0.7 to 0.8 of what they had, to about half at the least, and come up again like any other. May hurt where a kind is slow for a reason that passes. Verdicts are plain options now; levels go out before binds, which then carry them; adapter traces.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -80,22 +80,16 @@
 /// The design's start value, kept.
 const PROBE_PERIOD: f64 = 1_000.0;
 
-#[derive(Clone, Copy, PartialEq, Debug)]
-enum Verdict {
-    Pass,
-    Fail,
-    Neither,
-}
-
 /// A light probe says that a process runs, no more: good real answers, late ones too, outrank one
 /// that timed out (a busy host), and failing real txns one that passed (it errs or hangs beside it).
-fn judge_probe(outcome: Outcome, real: &Tally) -> Verdict {
+/// None counts for neither run.
+fn passes(outcome: Outcome, real: &Tally) -> Option<bool> {
     match outcome {
-        Outcome::Answered if real.tries >= 4.0 && real.voided_part() > 0.5 => Verdict::Neither,
-        Outcome::Answered => Verdict::Pass,
-        Outcome::TimedOut if real.good() >= 1.0 => Verdict::Neither,
-        Outcome::Errored | Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset => Verdict::Fail,
-        Outcome::Full | Outcome::Unknown => Verdict::Neither,
+        Outcome::Answered if real.tries >= 4.0 && real.voided_part() > 0.5 => None,
+        Outcome::Answered => Some(true),
+        Outcome::TimedOut if real.good() >= 1.0 => None,
+        Outcome::Errored | Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset => Some(false),
+        Outcome::Full | Outcome::Unknown => None,
     }
 }
 
@@ -117,19 +111,20 @@
     /// Real txns failed, not probes: passing probes say little about the return.
     by_sums: bool,
     relapses: i32,
-    trial_until: f64,
+    /// Since its last lift: to when it carries a part only.
+    trial_until: Option<f64>,
 }
 
 impl Gate {
-    fn count(&mut self, now: f64, verdict: Verdict, weighing: u32, may_shut: bool) {
-        match verdict {
-            Verdict::Neither => {}
-            Verdict::Pass => (self.fails, self.passes) = (0, self.passes + 1),
-            Verdict::Fail => (self.fails, self.passes) = (self.fails + weighing, 0),
+    fn count(&mut self, now: f64, pass: Option<bool>, weighing: u32, may_shut: bool) {
+        match pass {
+            None => {}
+            Some(true) => (self.fails, self.passes) = (0, self.passes + 1),
+            Some(false) => (self.fails, self.passes) = (self.fails + weighing, 0),
         }
         if self.fails >= FAILS_TO_GATE && !self.shut && may_shut {
             // A gate that shuts again this soon after a lift is a flapper's.
-            let soon = now < self.trial_until + 15_000.0;
+            let soon = self.trial_until.is_some_and(|until| now < until + 15_000.0);
             self.relapses = if soon { self.relapses + 1 } else { 0 };
             (self.shut, self.shut_at) = (true, now);
         }
@@ -141,7 +136,7 @@
         let first = if self.by_sums { 8_000.0 } else { 0.0 };
         let wait = f64::max(first, 4_000.0 * (2f64.powi(self.relapses.min(4)) - 1.0));
         if self.shut && self.passes >= PASSES_TO_LIFT && now >= self.shut_at + wait {
-            self.trial_until = now + if self.relapses > 0 { trial } else { 0.0 };
+            self.trial_until = Some(now + if self.relapses > 0 { trial } else { 0.0 });
             (self.shut, self.by_sums, self.fails) = (false, false, 0);
         }
     }
@@ -151,6 +146,7 @@
 
 struct Host {
     zone: ZoneId,
+    kind: KindId,
     weight: f64,
     standing: Standing,
     cold_since: Option<f64>,
@@ -174,14 +170,15 @@
         let age = self.cold_since.map_or(1.0, |since| (now - since) / warmup.within);
         let able = if age < 1.0 { warmup.from + (1.0 - warmup.from) * age } else { 1.0 };
         let step = [(1.0, 0.9), (0.5, 0.5), (0.25, 0.25)].into_iter().find(|(_, needs)| able >= *needs)?.0;
-        let trial = if now < self.gate.trial_until { 0.25 } else { 1.0 };
+        let trial = if self.gate.trial_until.is_some_and(|until| now < until) { 0.25 } else { 1.0 };
         Some(f64::min(step, trial) * self.pace)
     }
 
     /// Guards against hosts slower than their listed weight: one whose good answers come late while
-    /// the others' do not carries less, a partial gate in few sticky steps. What a step did is only
-    /// seen in later sums, so it waits for them. A host slow for other reasons loses traffic too.
-    fn ease(&mut self, now: f64, real: &Tally, usual_mean: f64, sla: f64, every: f64) {
+    /// the others' do not, or whose kind is slower by `kind`, carries less, a partial gate in few
+    /// sticky steps. What a step did shows in later sums only, so it waits for them. A host slow for
+    /// other reasons loses traffic too.
+    fn ease(&mut self, now: f64, real: &Tally, usual_mean: f64, kind: f64, sla: f64, every: f64) {
         let mean = real.mean();
         if real.good() < 6.0 || now < self.paced_at + 2.0 * every + 2_000.0 {
             return;
@@ -189,6 +186,8 @@
         if mean > 0.5 * sla && mean > 1.6 * usual_mean && self.pace > 0.15 {
             let step = (1.6 * usual_mean / mean).clamp(0.5, 0.75);
             (self.pace, self.paced_at) = (self.pace * step, now);
+        } else if kind > 1.0 && self.pace > 0.6 {
+            (self.pace, self.paced_at) = (self.pace * (1.6 / kind).clamp(0.7, 0.8), now);
         } else if self.pace < 1.0 && mean < 0.8 * usual_mean && now > self.paced_at + 10_000.0 {
             (self.pace, self.paced_at) = (f64::min(1.0, self.pace / 0.6), now);
         }
@@ -538,8 +537,8 @@
             }
             Event::Probed { host, outcome, .. } => {
                 if let Some(host) = self.hosts.get_mut(host) {
-                    let verdict = judge_probe(*outcome, &host.met(now, self.sums.every + BUCKET));
-                    host.gate.count(now, verdict, 1, true);
+                    let pass = passes(*outcome, &host.met(now, self.sums.every + BUCKET));
+                    host.gate.count(now, pass, 1, true);
                 }
             }
             Event::Applied { proxy, mark, .. } => self.queue.applied(*proxy, *mark),
@@ -567,7 +566,7 @@
             let weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
             #[rustfmt::skip]
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host {
-                zone, weight, standing, cold_since: None, gate: Gate::default(), met: BTreeMap::new(),
+                zone, kind: entry.kind, weight, standing, cold_since: None, gate: Gate::default(), met: BTreeMap::new(),
                 summed_at: f64::MIN, probed_at: f64::MIN, pace: 1.0, paced_at: f64::MIN,
             });
             (host.zone, host.standing, host.weight) = (zone, standing, weight);
@@ -597,17 +596,28 @@
         let usual = 1.0 - median(tried.map(|real| 1.0 - real.voided_part()).collect());
         let means = on().map(|host| host.met(now, long)).filter(|real| real.good() >= 6.0);
         let usual_mean = median(means.map(|real| real.mean()).collect());
+        // Where the list gives no weights, hosts of a kind are slow alike: their answers, pooled, tell
+        // so sooner than one host's.
+        let mut slow_kinds: BTreeMap<KindId, Tally> = BTreeMap::new();
+        for host in on().filter(|host| !host.gate.shut && host.weight == 1.0) {
+            let sum = slow_kinds.entry(host.kind).or_default();
+            *sum = sum.plus(host.met(now, long));
+        }
+        slow_kinds.retain(|_, sum| sum.good() >= 20.0);
+        let quickest = slow_kinds.values().map(Tally::mean).fold(f64::MAX, f64::min);
+        slow_kinds.retain(|_, sum| sum.mean() > f64::max(2.0 * quickest, 0.25 * sla));
         let all: f64 = on().map(|host| host.weight).sum();
         let mut shut: f64 = on().filter(|host| host.gate.shut).map(|host| host.weight).sum();
         self.usual_voided = usual;
         for host in self.hosts.values_mut().filter(|host| host.standing == Standing::On) {
             if host.summed_at == now {
                 let real = host.met(now, window);
-                host.ease(now, &host.met(now, long), usual_mean, sla, self.sums.every);
+                let kind = slow_kinds.get(&host.kind).map_or(1.0, |sum| sum.mean() / quickest);
+                host.ease(now, &host.met(now, long), usual_mean, kind, sla, self.sums.every);
                 // The rest must carry what is gated by sums: a third of the fleet at the most.
                 if fails_txns(&real, usual, sla) {
                     let (may, before) = (shut + host.weight <= 0.34 * all, host.gate.shut);
-                    host.gate.count(now, Verdict::Fail, 1 + (self.sums.every / PROBE_PERIOD) as u32, may);
+                    host.gate.count(now, Some(false), 1 + (self.sums.every / PROBE_PERIOD) as u32, may);
                     host.gate.by_sums |= host.gate.shut;
                     shut += if host.gate.shut && !before { host.weight } else { 0.0 };
                 }
@@ -775,6 +785,13 @@
                 present.held.remove(&host);
             }
         }
+        for (&(tbl, products), &(level, tries)) in &wanted.levels {
+            let order = Order::Admit { tbl, products, level, tries };
+            let differs = present.levels.get(&(tbl, products)) != Some(&(level, tries));
+            if differs && reply.take(false, &present.users(tbl), 1.0, &[order]) {
+                present.levels.insert((tbl, products), (level, tries));
+            }
+        }
         for (&(proxy, confined), &tbl) in &wanted.binds {
             if present.binds.get(&(proxy, confined)) != Some(&tbl) {
                 let lines = present.lines.get(&tbl).map_or(0, BTreeMap::len) + self.products.len();
@@ -784,13 +801,6 @@
                 }
             }
         }
-        for (&(tbl, products), &(level, tries)) in &wanted.levels {
-            let order = Order::Admit { tbl, products, level, tries };
-            let differs = present.levels.get(&(tbl, products)) != Some(&(level, tries));
-            if differs && reply.take(false, &present.users(tbl), 1.0, &[order]) {
-                present.levels.insert((tbl, products), (level, tries));
-            }
-        }
         let Reply { lines, orders, .. } = reply;
         out.extend(orders);
         if lines.is_empty() {
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -19,6 +19,7 @@
         4000 withdraw host0
         5000 answered host0
         6000 answered host0
+        6000 restore host0
     "#]]
     .assert_eq(&fleet.trace);
 }
@@ -137,6 +138,7 @@
     expect![[r#"
         3000 withdraw host0
         3000 t0 host1 weight 0.5
+        3000 t0 host3 weight 0.7
     "#]]
     .assert_eq(&fleet.trace);
 }
@@ -256,3 +258,61 @@
     "#]]
     .assert_eq(&fleet.trace);
 }
+
+/// Hunted day on velesanas-riga: equal weights overran the slower kind of machine for ten seconds.
+#[test]
+fn a_kind_of_machine_that_is_slower_carries_less_where_no_weight_is_listed() {
+    let mut fleet = Fleet::new(1, 4);
+    fleet.join(0);
+    fleet.trace.clear();
+    for _ in 0..5 {
+        fleet.run(5);
+        for (host, mean) in [(0, 100.0), (1, 350.0), (2, 120.0), (3, 300.0)] {
+            fleet.met(host, 0, 10, 0, mean);
+        }
+    }
+    expect![[r#"
+        2000 t0 host1 weight 0.7
+        2000 t0 host3 weight 0.7
+        6000 t0 host1 weight 0.48999999999999994
+        6000 t0 host3 weight 0.48999999999999994
+    "#]]
+    .assert_eq(&fleet.trace);
+}
+
+#[test]
+fn a_flapper_waits_longer_and_returns_in_part() {
+    let mut fleet = Fleet::new(1, 3);
+    fleet.join(0);
+    fleet.trace.clear();
+    for _ in 0..2 {
+        fleet.probes(0, &[Outcome::Reset; 3]);
+        fleet.probes(0, &[Outcome::Answered; 5]);
+    }
+    fleet.run(20);
+    expect![[r#"
+        2000 reset host0
+        3000 reset host0
+        4000 reset host0
+        4000 withdraw host0
+        5000 answered host0
+        6000 answered host0
+        6000 restore host0
+        7000 answered host0
+        8000 answered host0
+        9000 answered host0
+        10000 reset host0
+        11000 reset host0
+        12000 reset host0
+        12000 withdraw host0
+        13000 answered host0
+        14000 answered host0
+        15000 answered host0
+        16000 t0 host0 weight 0.25
+        16000 restore host0
+        16000 answered host0
+        17000 answered host0
+        19600 t0 host0 weight 1
+    "#]]
+    .assert_eq(&fleet.trace);
+}
