--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -247,21 +247,14 @@
     }
 }
 
-/// What a zone asks of one product: a rate at each of its proxies.
+/// What a zone asks of one product: a rate at each of its proxies, their sum, and the work of that;
+/// the SLA time stands in for the work of one txn, which is not told.
 struct Ask {
     id: ProductId,
     product: Product,
     rates: Vec<f64>,
-}
-
-impl Ask {
-    fn total(&self) -> f64 {
-        self.rates.iter().sum()
-    }
-    /// The work asked for; the SLA time stands in for the work of one, which is not told.
-    fn work(&self) -> f64 {
-        self.total() * self.product.sla
-    }
+    total: f64,
+    work: f64,
 }
 
 /// The part of a zone's work that is let in.
@@ -279,8 +272,8 @@
             return;
         }
         self.judged_at = now;
-        let came = asks.iter().map(Ask::total).sum::<f64>().max(1e-9);
-        let sla = asks.iter().map(Ask::work).sum::<f64>() / came;
+        let came = asks.iter().map(|ask| ask.total).sum::<f64>().max(1e-9);
+        let sla = asks.iter().map(|ask| ask.work).sum::<f64>() / came;
         let slow = real.mean() / sla.max(1e-9) + real.voided_part();
         self.pressed = slow > 0.65;
         if self.pressed {
@@ -298,12 +291,12 @@
     fn split(&self, mut asks: Vec<Ask>, most: f64, kind: LevelKind) -> Vec<(ProductId, f64, Tries)> {
         let pays = |ask: &Ask| ask.product.revenue / ask.product.sla;
         asks.sort_by(|a, b| pays(a).total_cmp(&pays(b)));
-        let mut shed = (1.0 - self.share.min(most)) * asks.iter().map(Ask::work).sum::<f64>();
+        let mut shed = (1.0 - self.share.min(most)) * asks.iter().map(|ask| ask.work).sum::<f64>();
         let tries = if self.pressed { Tries::One } else { Tries::AfterProof };
         let levels = asks.into_iter().map(|ask| {
-            let cut = f64::min(shed, 0.9 * ask.work());
+            let cut = f64::min(shed, 0.9 * ask.work);
             shed -= cut;
-            let share = 1.0 - cut / ask.work().max(1e-9);
+            let share = 1.0 - cut / ask.work.max(1e-9);
             let level = match kind {
                 LevelKind::Rate if share > 0.98 => 1e6,
                 LevelKind::Rate => even_rate(ask.rates, share),
@@ -596,8 +589,7 @@
         let usual = 1.0 - median(tried.map(|real| 1.0 - real.voided_part()).collect());
         let means = on().map(|host| host.met(now, long)).filter(|real| real.good() >= 6.0);
         let usual_mean = median(means.map(|real| real.mean()).collect());
-        // Where the list gives no weights, hosts of a kind are slow alike: their answers, pooled, tell
-        // so sooner than one host's.
+        // Where the list gives no weights: pooled by kind, answers tell sooner that hosts are slow.
         let mut slow_kinds: BTreeMap<KindId, Tally> = BTreeMap::new();
         for host in on().filter(|host| !host.gate.shut && host.weight == 1.0) {
             let sum = slow_kinds.entry(host.kind).or_default();
@@ -613,7 +605,10 @@
             if host.summed_at == now {
                 let real = host.met(now, window);
                 let kind = slow_kinds.get(&host.kind).map_or(1.0, |sum| sum.mean() / quickest);
-                host.ease(now, &host.met(now, long), usual_mean, kind, sla, self.sums.every);
+                // The slowest answer too little for a short window, once their last step is well past.
+                let few = host.met(now, long).good() < 6.0 && now > host.paced_at + 3.0 * long;
+                let lately = host.met(now, if few { 3.0 * long } else { long });
+                host.ease(now, &lately, usual_mean, kind, sla, self.sums.every);
                 // The rest must carry what is gated by sums: a third of the fleet at the most.
                 if fails_txns(&real, usual, sla) {
                     let (may, before) = (shut + host.weight <= 0.34 * all, host.gate.shut);
@@ -639,8 +634,9 @@
         let ask = |(place, product): (usize, &Product)| {
             let id = ProductId(place as u16);
             let there = self.proxies.values().filter(|proxy| proxy.zone == zone);
-            let rates = there.map(|proxy| proxy.rate(now, id, self.products.len())).collect();
-            Ask { id, product: product.clone(), rates }
+            let rates: Vec<f64> = there.map(|proxy| proxy.rate(now, id, self.products.len())).collect();
+            let total = rates.iter().sum::<f64>();
+            Ask { id, product: product.clone(), rates, total, work: total * product.sla }
         };
         self.products.iter().enumerate().map(ask).collect()
     }
@@ -667,9 +663,9 @@
             there.map(|(id, host)| host.weight * parts[id]).sum()
         });
         let weights: Vec<f64> = weights.collect();
-        let demands: Vec<f64> = asks.iter().map(|asks| asks.iter().map(Ask::total).sum()).collect();
+        let demands: Vec<f64> = asks.iter().map(|asks| asks.iter().map(|ask| ask.total).sum()).collect();
         let free = asks.iter().flatten().filter(|ask| !ask.product.own_zone);
-        let movable = free.map(Ask::total).sum::<f64>() / demands.iter().sum::<f64>().max(1e-9);
+        let movable = free.map(|ask| ask.total).sum::<f64>() / demands.iter().sum::<f64>().max(1e-9);
         self.spill.plan(now, &weights, &demands, movable);
         let rings = self.hosts.values().flat_map(|host| host.met.values());
         let good: f64 = rings.map(|ring| ring.last(now, self.sums.every + BUCKET).rate()).sum();
@@ -714,7 +710,7 @@
             let there = parts.keys().map(|id| &self.hosts[id]).filter(|host| host.zone == *zone);
             let any_cold = there.filter(|host| warming(host)).count() > 0;
             let load = |own: bool| -> f64 {
-                let asked = asks.iter().filter(|ask| ask.product.own_zone == own).map(Ask::total);
+                let asked = asks.iter().filter(|ask| ask.product.own_zone == own).map(|ask| ask.total);
                 asked.sum::<f64>() / usable[&self.tbl(*zone, own)].max(1e-9)
             };
             let budget = 0.5 * self.warmup.multiple * self.best / (load(false) + load(true)).max(1e-9);
