No table is emptied before something that stays serves; late sums still outrank probes

Now the last sums that came still outrank a probe that timed out, lines go only once one that stays serves, and fails are asked after one at a time.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -169,7 +169,7 @@
     fn part(&self, now: f64, warmup: &Warmup) -> Option<f64> {
         let age = self.cold_since.map_or(1.0, |since| (now - since) / warmup.within);
         let able = if age < 1.0 { warmup.from + (1.0 - warmup.from) * age } else { 1.0 };
-        let step = [(1.0, 0.9), (0.5, 0.5), (0.25, 0.25)].into_iter().find(|(_, needs)| able >= *needs)?.0;
+        let step = [(1.0, 1.0), (0.5, 0.65), (0.25, 0.3)].into_iter().find(|(_, needs)| able >= *needs)?.0;
         let trial = if self.gate.trial_until.is_some_and(|until| now < until) { 0.25 } else { 1.0 };
         Some(f64::min(step, trial) * self.pace)
     }
@@ -529,9 +529,15 @@
                 }
             }
             Event::Probed { host, outcome, .. } => {
+                // Where sums are late altogether, the last that came still tell a busy host.
+                let newest = self.hosts.values().map(|host| host.summed_at).fold(f64::MIN, f64::max);
                 if let Some(host) = self.hosts.get_mut(host) {
-                    let pass = passes(*outcome, &host.met(now, self.sums.every + BUCKET));
+                    let pass = passes(*outcome, &host.met(now, self.sums.every + BUCKET + now - newest));
                     host.gate.count(now, pass, 1, true);
+                    if pass == Some(false) && !host.gate.shut {
+                        // A fail is asked after soon: a run then shows in little over a second.
+                        host.probed_at = now + TICK - PROBE_PERIOD;
+                    }
                 }
             }
             Event::Applied { proxy, mark, .. } => self.queue.applied(*proxy, *mark),
@@ -546,9 +552,7 @@
     }
 
     fn learn(&mut self, now: f64, news: ListNews, entries: &[Listed]) {
-        if news != ListNews::Restored {
-            self.watch.failures = 0;
-        }
+        self.watch.failures = 0;
         if news != ListNews::Changes {
             let listed: BTreeSet<HostId> = entries.iter().map(|entry| entry.host).collect();
             let missing = self.hosts.iter_mut().filter(|(id, _)| !listed.contains(id));
@@ -572,9 +576,7 @@
     fn probe(&mut self, now: f64, out: &mut Vec<Order>) {
         let on = self.hosts.iter_mut().filter(|(_, host)| host.standing == Standing::On);
         for (id, host) in on.filter(|_| self.post.may_probe) {
-            // A first fail is asked after at once: a run then takes under a second to show.
-            let asked_after = host.gate.fails > 0 && !host.gate.shut;
-            if now >= host.probed_at + if asked_after { TICK } else { PROBE_PERIOD } - 1.0 {
+            if now >= host.probed_at + PROBE_PERIOD - 1.0 {
                 host.probed_at = now;
                 out.push(Order::Probe { host: *id });
             }
@@ -713,7 +715,7 @@
                 let asked = asks.iter().filter(|ask| ask.product.own_zone == own).map(|ask| ask.total);
                 asked.sum::<f64>() / usable[&self.tbl(*zone, own)].max(1e-9)
             };
-            let budget = 0.5 * self.warmup.multiple * self.best / (load(false) + load(true)).max(1e-9);
+            let budget = 0.4 * self.warmup.multiple * self.best / (load(false) + load(true)).max(1e-9);
             let most = if any_cold && self.best > 0.0 { budget.min(1.0) } else { 1.0 };
             self.admit(now, *zone, asks, most, &mut plan);
         }
@@ -739,8 +741,6 @@
         }
     }
 
-    // ------------------------------------------------------------ the difference, and its orders
-
     /// The one place that turns what is wanted into orders: what differs from the present goes out,
     /// the urgent first, as far as the channel takes it. What does not fit waits for the next call.
     fn publish(&mut self, now: f64, wanted: Plan, out: &mut Vec<Order>) {
@@ -759,7 +759,9 @@
         for (tbl, lines) in &wanted.lines {
             let users = present.users(*tbl);
             let standing = present.lines.entry(*tbl).or_default();
-            let gone = standing.keys().filter(|host| !lines.contains_key(host)).map(|host| (*host, 0.0));
+            // What goes is removed once something that stays serves, or proxies would be bare.
+            let serves = lines.keys().any(|host| !present.held.contains(host));
+            let gone = standing.keys().filter(|id| serves && !lines.contains_key(id)).map(|id| (*id, 0.0));
             let news = lines.iter().map(|(host, weight)| (*host, *weight)).filter(|(host, weight)| {
                 // The weight of a host that is shut out can wait until it comes back.
                 let waits = wanted.held.contains(host) && standing.contains_key(host);
