Neighbours' lines go once all that comes back serves; cold hosts come in last

Releases now go at once as the design says, a table's lines go only when none of its hosts still waits to come back, and cold hosts are let in by a later reply than warm ones. Holds against any order of returns; a cold host may wait a tick longer.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -277,9 +277,7 @@
         let slow = real.mean() / sla.max(1e-9) + real.voided_part();
         self.pressed = slow > 0.65;
         if self.pressed {
-            // Each sum covers its own time; so many of them came in.
-            let settled = settled / came;
-            self.share = self.share.min(f64::max(settled, 0.75 * self.share)).max(0.15);
+            self.share = self.share.min(f64::max(settled / came, 0.75 * self.share)).max(0.15);
         } else {
             // The more room the answers' time leaves, the longer the step.
             let step = (1.45 - slow).max(1.0);
@@ -675,9 +673,8 @@
         let mut usable = BTreeMap::new();
         for (zone, own) in zones.iter().flat_map(|zone| [(*zone, false), (*zone, true)]) {
             let joins = |host: &Host| match self.spill.parts.get(&(zone, host.zone)) {
-                _ if host.zone == zone => 1.0,
                 Some(part) if !own => *part,
-                _ => 0.0,
+                _ => f64::from(u8::from(host.zone == zone)),
             };
             let takes = |id: &HostId, host: &Host| {
                 own || plan.held.contains(id) || !host.gate.shut || zones_open.is_empty()
@@ -759,8 +756,8 @@
         for (tbl, lines) in &wanted.lines {
             let users = present.users(*tbl);
             let standing = present.lines.entry(*tbl).or_default();
-            // What goes is removed once something that stays serves, or proxies would be bare.
-            let serves = lines.keys().any(|host| !present.held.contains(host));
+            // What goes is removed once all that comes back serves, or the rest would get it all.
+            let serves = present.held.iter().all(|id| wanted.held.contains(id) || !lines.contains_key(id));
             let gone = standing.keys().filter(|id| serves && !lines.contains_key(id)).map(|id| (*id, 0.0));
             let news = lines.iter().map(|(host, weight)| (*host, *weight)).filter(|(host, weight)| {
                 // The weight of a host that is shut out can wait until it comes back.
@@ -771,15 +768,18 @@
             let share =
                 |(host, weight): &(HostId, f64)| Order::Share { tbl: *tbl, host: *host, weight: *weight };
             let orders: Vec<Order> = changes.iter().map(share).collect();
-            // Urgent for proxies that would be left bare.
             let bare = standing.keys().all(|host| present.held.contains(host));
             if !orders.is_empty() && reply.take(bare, &users, orders.len() as f64, &orders) {
                 standing.extend(changes);
                 standing.retain(|_, weight| *weight > 0.0);
             }
         }
-        for host in present.held.clone().difference(&wanted.held).copied() {
-            if reply.take(false, &everyone, 1.0, &[Order::Withdraw { host, out: false }]) {
+        // A cold host comes in after the warm ones, lest it be alone.
+        let cold = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.cold_since.is_some());
+        let back: Vec<HostId> = present.held.difference(&wanted.held).copied().collect();
+        let all_cold = back.iter().all(cold);
+        for host in back.into_iter().filter(|id| all_cold || !cold(id)) {
+            if reply.take(true, &everyone, 1.0, &[Order::Withdraw { host, out: false }]) {
                 present.held.remove(&host);
             }
         }
@@ -804,9 +804,9 @@
         if lines.is_empty() {
             return;
         }
-        let one = Tally { tries: 1.0, ..Tally::default() };
-        let written = self.proxies.iter_mut().filter(|(id, _)| lines.contains_key(id));
-        written.for_each(|(_, proxy)| proxy.messages.add(now, one));
+        for (_, proxy) in self.proxies.iter_mut().filter(|(id, _)| lines.contains_key(id)) {
+            proxy.messages.add(now, Tally { tries: 1.0, ..Tally::default() });
+        }
         let mark = MarkId(self.queue.marks);
         self.queue.marks = self.queue.marks.wrapping_add(1);
         self.queue.sent.push_back((mark, lines));
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -98,6 +98,7 @@
         5000 t2 host0 weight 0
         5000 withdraw host2
         5000 t0 host2 weight 0
+        5000 t2 host2 weight 0
         7600 t0 host0 weight 0.25
         7600 t0 host2 weight 0.25
         7600 t2 host0 weight 0.25
@@ -374,3 +375,40 @@
     "#]]
     .assert_eq(&fleet.trace);
 }
+
+/// Hunted day on ledger-sicilia: as a zone came back after a cut, a cold host was alone in its table.
+#[test]
+fn a_cold_host_comes_in_after_the_warm_ones_and_neighbours_leave_last() {
+    let mut fleet = Fleet::new(2, 6);
+    fleet.join(0);
+    fleet.join(1);
+    for host in [0, 2, 4] {
+        fleet.probes(host, &[Outcome::Unreachable; 3]);
+    }
+    fleet.list(0, Standing::On, Some(fleet.now));
+    fleet.run(30);
+    fleet.trace.clear();
+    for host in [0, 2, 4] {
+        fleet.probes(host, &[Outcome::Answered; 2]);
+    }
+    fleet.run(12);
+    expect![[r#"
+        17000 answered host0
+        18000 answered host0
+        18000 t0 host1 weight 0.5
+        18000 t0 host3 weight 0.5
+        18000 t0 host5 weight 0.5
+        18000 restore host0
+        19000 answered host2
+        20000 answered host2
+        20000 t0 host1 weight 0.25
+        20000 t0 host3 weight 0.25
+        20000 t0 host5 weight 0.25
+        20000 restore host2
+        21000 answered host4
+        21400 t0 host0 weight 0.5
+        22000 answered host4
+        22000 restore host4
+    "#]]
+    .assert_eq(&fleet.trace);
+}
