A new start clears the gate's past; cold budgets may close a product; levels keep 0.3

A new start now clears runs, relapses, holds and sums, and a cold budget may close a product wholly. Levels keep 0.3 of the work at least (0.15 let them fall lower than anything needed).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -142,8 +142,6 @@
     }
 }
 
-// ---------------------------------------------------------------- hosts and proxies
-
 struct Host {
     zone: ZoneId,
     kind: KindId,
@@ -277,7 +275,7 @@
         let slow = real.mean() / sla.max(1e-9) + real.voided_part();
         self.pressed = slow > 0.65;
         if self.pressed {
-            self.share = self.share.min(f64::max(settled / came, 0.75 * self.share)).max(0.15);
+            self.share = self.share.min(f64::max(settled / came, 0.75 * self.share)).max(0.3);
         } else {
             // The more room the answers' time leaves, the longer the step.
             let step = (1.45 - slow).max(1.0);
@@ -292,7 +290,7 @@
         let mut shed = (1.0 - self.share.min(most)) * asks.iter().map(|ask| ask.work).sum::<f64>();
         let tries = if self.pressed { Tries::One } else { Tries::AfterProof };
         let levels = asks.into_iter().map(|ask| {
-            let cut = f64::min(shed, 0.9 * ask.work);
+            let cut = f64::min(shed, f64::max(0.9, 1.0 - most) * ask.work);
             shed -= cut;
             let share = 1.0 - cut / ask.work.max(1e-9);
             let level = match kind {
@@ -415,13 +413,6 @@
     levels: BTreeMap<(TblId, Products), (f64, Tries)>,
 }
 
-impl Plan {
-    fn users(&self, tbl: TblId) -> Vec<ProxyId> {
-        let bound = self.binds.iter().filter(|(_, bound)| **bound == tbl);
-        bound.map(|((proxy, _), _)| *proxy).collect()
-    }
-}
-
 pub struct Steward {
     post: Post,
     products: Vec<Product>,
@@ -565,8 +556,11 @@
                 summed_at: f64::MIN, probed_at: f64::MIN, pace: 1.0, paced_at: f64::MIN,
             });
             (host.zone, host.standing, host.weight) = (zone, standing, weight);
-            if let Some(born) = entry.born.filter(|born| now - born < self.warmup.within) {
-                host.cold_since = Some(host.cold_since.map_or(born, |since| since.max(born)));
+            let known = host.cold_since.unwrap_or(now - self.warmup.within);
+            if let Some(born) = entry.born.filter(|born| *born > known) {
+                // What it did before it started anew says nothing: two passes bring it back.
+                (host.gate, host.cold_since) = (Gate { shut: host.gate.shut, ..Gate::default() }, Some(born));
+                host.met.clear();
             }
         }
     }
@@ -741,6 +735,10 @@
     /// The one place that turns what is wanted into orders: what differs from the present goes out,
     /// the urgent first, as far as the channel takes it. What does not fit waits for the next call.
     fn publish(&mut self, now: f64, wanted: Plan, out: &mut Vec<Order>) {
+        let users = |plan: &Plan, tbl: TblId| -> Vec<ProxyId> {
+            let bound = plan.binds.iter().filter(|(_, bound)| **bound == tbl);
+            bound.map(|((proxy, _), _)| *proxy).collect()
+        };
         let masks = [self.products_of(false), self.products_of(true)];
         let everyone: Vec<ProxyId> = self.proxies.keys().copied().collect();
         let (channel, proxies) = (&self.queue.channel, &self.proxies);
@@ -754,7 +752,7 @@
             }
         }
         for (tbl, lines) in &wanted.lines {
-            let users = present.users(*tbl);
+            let whom = users(present, *tbl);
             let standing = present.lines.entry(*tbl).or_default();
             // What goes is removed once all that comes back serves, or the rest would get it all.
             let serves = present.held.iter().all(|id| wanted.held.contains(id) || !lines.contains_key(id));
@@ -769,7 +767,7 @@
                 |(host, weight): &(HostId, f64)| Order::Share { tbl: *tbl, host: *host, weight: *weight };
             let orders: Vec<Order> = changes.iter().map(share).collect();
             let bare = standing.keys().all(|host| present.held.contains(host));
-            if !orders.is_empty() && reply.take(bare, &users, orders.len() as f64, &orders) {
+            if !orders.is_empty() && reply.take(bare, &whom, orders.len() as f64, &orders) {
                 standing.extend(changes);
                 standing.retain(|_, weight| *weight > 0.0);
             }
@@ -786,7 +784,7 @@
         for (&(tbl, products), &(level, tries)) in &wanted.levels {
             let order = Order::Admit { tbl, products, level, tries };
             let differs = present.levels.get(&(tbl, products)) != Some(&(level, tries));
-            if differs && reply.take(false, &present.users(tbl), 1.0, &[order]) {
+            if differs && reply.take(false, &users(present, tbl), 1.0, &[order]) {
                 present.levels.insert((tbl, products), (level, tries));
             }
         }
