Cold hosts stay out while most of a zone's warm hosts are gated

While less than half of a zone's warm weight is open its cold hosts stay out now, and where a product may not leave the zone its gates stay ignored. May hold a cold host back where most of a zone is gated for long.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -173,9 +173,8 @@
     }
 
     /// Guards against hosts slower than their listed weight: one whose good answers come late while
-    /// the others' do not, or whose kind is slower by `kind`, carries less, a partial gate in few
-    /// sticky steps. What a step did shows in later sums only, so it waits for them. A host slow for
-    /// other reasons loses traffic too.
+    /// the others' do not, or whose kind is slower by `kind`, carries less, a partial gate in few sticky
+    /// steps, each seen in later sums only. A host slow for other reasons loses traffic too.
     fn ease(&mut self, now: f64, real: &Tally, usual_mean: f64, kind: f64, sla: f64, every: f64) {
         let mean = real.mean();
         if real.good() < 6.0 || now < self.paced_at + 2.0 * every + 2_000.0 {
@@ -216,9 +215,8 @@
 }
 
 impl Spill {
-    /// Neighbours' hosts join where a zone's own carry more than the fleet's share: levels out
-    /// skewed demand and lost hosts alike. Costs crossings, as few as the excess asks for. Parts
-    /// are sticky and in quarters, so that small shifts write no orders.
+    /// Neighbours' hosts join where a zone's own carry more than the fleet's share, by skewed demand or
+    /// lost hosts. Costs crossings. Parts are sticky and in quarters: small shifts write no orders.
     fn plan(&mut self, now: f64, weights: &[f64], demands: &[f64], movable: f64) {
         let near = |(new, old): (&f64, &f64)| (new - old).abs() <= 0.2 * old;
         let stands = |(at, old): &(f64, Vec<f64>)| now < at + 2_000.0 && weights.iter().zip(old).all(near);
@@ -278,8 +276,7 @@
             self.share = self.share.min(f64::max(settled / came, 0.75 * self.share)).max(0.3);
         } else {
             // The more room the answers' time leaves, the longer the step.
-            let step = (1.45 - slow).max(1.0);
-            self.share = f64::min(1.0, self.share * step);
+            self.share = f64::min(1.0, self.share * (1.45 - slow).max(1.0));
         }
     }
 
@@ -331,8 +328,7 @@
     /// Where the list must be asked it is watched; after a failure asked again, ever more rarely.
     fn ask(&mut self, now: f64, chance: f64, out: &mut Vec<Order>) {
         let wait = 600.0 * 2f64.powi(self.failures.min(3)) * (0.75 + 0.5 * chance);
-        let due = now >= self.asked_at + wait;
-        if self.roster.asked && !self.watching && due {
+        if self.roster.asked && !self.watching && now >= self.asked_at + wait {
             (self.asked_at, self.watching) = (now, true);
             out.push(Order::Watch { on: true });
         }
@@ -356,11 +352,6 @@
             self.sent[0].1.remove(&proxy);
         }
     }
-    fn left(&mut self, proxy: ProxyId) {
-        for (_, lines) in &mut self.sent {
-            lines.remove(&proxy);
-        }
-    }
 }
 
 /// One reply as it is put together, with what it writes to each proxy.
@@ -537,7 +528,9 @@
     fn left(&mut self, proxy: ProxyId) {
         self.proxies.remove(&proxy);
         self.present.binds.retain(|(bound, _), _| *bound != proxy);
-        self.queue.left(proxy);
+        for (_, lines) in &mut self.queue.sent {
+            lines.remove(&proxy);
+        }
     }
 
     fn learn(&mut self, now: f64, news: ListNews, entries: &[Listed]) {
@@ -552,8 +545,8 @@
             let weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
             #[rustfmt::skip]
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host {
-                zone, kind: entry.kind, weight, standing, cold_since: None, gate: Gate::default(), met: BTreeMap::new(),
-                summed_at: f64::MIN, probed_at: f64::MIN, pace: 1.0, paced_at: f64::MIN,
+                zone, kind: entry.kind, weight, standing, cold_since: None, gate: Gate::default(),
+                met: BTreeMap::new(), summed_at: f64::MIN, probed_at: f64::MIN, pace: 1.0, paced_at: f64::MIN,
             });
             (host.zone, host.standing, host.weight) = (zone, standing, weight);
             let known = host.cold_since.unwrap_or(now - self.warmup.within);
@@ -636,18 +629,28 @@
     }
 
     fn want(&mut self, now: f64) -> Plan {
-        let mut plan = Plan::default();
+        let (mut plan, within) = (Plan::default(), self.warmup.within);
         let zones: Vec<ZoneId> = (0..self.post.zones).map(ZoneId).collect();
         let confined = self.products.iter().any(|product| product.own_zone);
         let on = self.hosts.iter().filter(|(_, host)| host.standing == Standing::On);
         let part = |(id, host): (&HostId, &Host)| Some((*id, host.part(now, &self.warmup)?));
         let parts: BTreeMap<HostId, f64> = on.filter_map(part).collect();
         let open = |(id, host): &(&HostId, &Host)| !host.gate.shut && parts.contains_key(id);
-        let zones_open: Vec<ZoneId> = self.hosts.iter().filter(open).map(|(_, host)| host.zone).collect();
+        let none_open = !self.hosts.iter().any(|host| open(&host));
+        let warm = |host: &Host| host.cold_since.is_none_or(|at| now >= at + within);
+        let carried = |zone: ZoneId, all: bool| -> f64 {
+            let there = self.hosts.iter().filter(|(id, host)| host.zone == zone && parts.contains_key(id));
+            there
+                .filter(|(_, host)| warm(host) && (all || !host.gate.shut))
+                .map(|(_, host)| host.weight)
+                .sum()
+        };
         for (id, host) in &self.hosts {
-            // With every host gated, gates are ignored; so too where a product has no other zone.
-            let others = if confined { zones_open.contains(&host.zone) } else { !zones_open.is_empty() };
-            if (host.gate.shut && others) || !parts.contains_key(id) {
+            // With every host gated, gates are ignored; so too, while most of a zone's warm hosts are
+            // gated, where a product may not leave it. Nor are cold ones let in then: they would get all.
+            let few = carried(host.zone, false) < 0.5 * carried(host.zone, true);
+            let gated = host.gate.shut && !none_open && !(few && confined);
+            if gated || !parts.contains_key(id) || (few && !warm(host)) {
                 plan.held.insert(*id);
             }
         }
@@ -670,9 +673,8 @@
                 Some(part) if !own => *part,
                 _ => f64::from(u8::from(host.zone == zone)),
             };
-            let takes = |id: &HostId, host: &Host| {
-                own || plan.held.contains(id) || !host.gate.shut || zones_open.is_empty()
-            };
+            let takes =
+                |id: &HostId, host: &Host| own || plan.held.contains(id) || !host.gate.shut || none_open;
             let there = parts.iter().map(|(id, part)| (id, part, &self.hosts[id]));
             let there = there.filter(|(id, _, host)| joins(host) > 0.0 && takes(id, host));
             let line = |(id, part, host): (&HostId, &f64, &Host)| (*id, host.weight * part * joins(host));
@@ -697,11 +699,9 @@
             }
         }
         for (zone, asks) in zones.iter().zip(asks) {
-            // Guards a zone that comes back all cold at once: shares are of what is asked, and the
-            // few that are back would get it all. Their budget, as of the best rate seen, bounds it.
-            let warming = |host: &Host| host.cold_since.is_some_and(|since| now < since + self.warmup.within);
-            let there = parts.keys().map(|id| &self.hosts[id]).filter(|host| host.zone == *zone);
-            let any_cold = there.filter(|host| warming(host)).count() > 0;
+            // Guards a zone that comes back all cold: its budget, of the best rate seen, bounds levels.
+            let here = |id: &HostId| self.hosts[id].zone == *zone && !warm(&self.hosts[id]);
+            let any_cold = parts.keys().any(here);
             let load = |own: bool| -> f64 {
                 let asked = asks.iter().filter(|ask| ask.product.own_zone == own).map(|ask| ask.total);
                 asked.sum::<f64>() / usable[&self.tbl(*zone, own)].max(1e-9)
