No second tries in a zone with cold hosts

While a zone has a cold host its proxies make no second try. Costs the second tries of such zones for a warming time.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -281,11 +281,13 @@
     }
 
     /// Sheds the least revenue per work first, and leaves of each product a tenth.
-    fn split(&self, mut asks: Vec<Ask>, most: f64, kind: LevelKind) -> Vec<(ProductId, f64, Tries)> {
+    fn split(&self, mut asks: Vec<Ask>, cold: Option<f64>, kind: LevelKind) -> Vec<(ProductId, f64, Tries)> {
         let pays = |ask: &Ask| ask.product.revenue / ask.product.sla;
         asks.sort_by(|a, b| pays(a).total_cmp(&pays(b)));
+        let most = cold.unwrap_or(1.0);
         let mut shed = (1.0 - self.share.min(most)) * asks.iter().map(|ask| ask.work).sum::<f64>();
-        let tries = if self.pressed { Tries::One } else { Tries::AfterProof };
+        // Another try would seek out the hosts with room: cold ones.
+        let tries = if self.pressed || cold.is_some() { Tries::One } else { Tries::AfterProof };
         let levels = asks.into_iter().map(|ask| {
             let cut = f64::min(shed, f64::max(0.9, 1.0 - most) * ask.work);
             shed -= cut;
@@ -426,8 +428,7 @@
     draws: u64,
 }
 
-/// A fifth of the probe period: gates and returns are seen to at least so often.
-const TICK: f64 = 200.0;
+const TICK: f64 = PROBE_PERIOD / 5.0;
 
 impl Decide for Steward {
     fn decide(&mut self, now: f64, events: &[Event]) -> Vec<Order> {
@@ -572,7 +573,6 @@
         let (window, long, sla) = (self.sums.every + BUCKET, self.sums.every + 2_000.0, self.sla);
         let on = || self.hosts.values().filter(|host| host.standing == Standing::On);
         let tried = on().map(|host| host.met(now, window)).filter(|real| real.tries >= 3.0);
-        // Of an even number the upper median counts: of settled parts, to see half that fail.
         let usual = 1.0 - median(tried.map(|real| 1.0 - real.voided_part()).collect());
         let means = on().map(|host| host.met(now, long)).filter(|real| real.good() >= 6.0);
         let usual_mean = median(means.map(|real| real.mean()).collect());
@@ -707,14 +707,14 @@
                 asked.sum::<f64>() / usable[&self.tbl(*zone, own)].max(1e-9)
             };
             let budget = 0.4 * self.warmup.multiple * self.best / (load(false) + load(true)).max(1e-9);
-            let most = if any_cold && self.best > 0.0 { budget.min(1.0) } else { 1.0 };
+            let most = any_cold.then_some(if self.best > 0.0 { budget.min(1.0) } else { 1.0 });
             self.admit(now, *zone, asks, most, &mut plan);
         }
         plan
     }
 
     /// Levels, zone by zone, from the zone's own figures: what its proxies met and what came.
-    fn admit(&mut self, now: f64, zone: ZoneId, asks: Vec<Ask>, most: f64, plan: &mut Plan) {
+    fn admit(&mut self, now: f64, zone: ZoneId, asks: Vec<Ask>, most: Option<f64>, plan: &mut Plan) {
         let window = self.sums.every + BUCKET;
         let hosts = self.hosts.values().filter(|host| !host.gate.shut);
         let met = hosts.filter_map(|host| host.met.get(&zone)).map(|ring| ring.last(now, window));
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -60,8 +60,10 @@
         1000 t0 host1 weight 0
         4000 t0 host1 weight 0.25
         4000 restore host1
+        4000 admit t0 for 1: 1 One
         12800 t0 host1 weight 0.5
         21400 t0 host1 weight 1
+        21400 admit t0 for 1: 1 AfterProof
     "#]]
     .assert_eq(&fleet.trace);
 }
@@ -105,12 +107,12 @@
         7600 t2 host2 weight 0.25
         7600 restore host0
         7600 restore host2
-        7600 admit t2 for 1: 0.3 AfterProof
+        7600 admit t2 for 1: 0.3 One
         16400 t0 host0 weight 0.5
         16400 t0 host2 weight 0.5
         16400 t2 host0 weight 0.5
         16400 t2 host2 weight 0.5
-        16400 admit t2 for 1: 0.55 AfterProof
+        16400 admit t2 for 1: 0.55 One
         25000 t0 host1 weight 0
         25000 t0 host3 weight 0
         25000 t0 host0 weight 1
@@ -430,6 +432,7 @@
     fleet.probes(0, &[Outcome::Answered; 2]);
     fleet.run(2);
     expect![[r#"
+        3000 admit t0 for 1: 1 One
         4000 answered host0
         5000 answered host0
         5000 t0 host0 weight 0.25
