Plan by the clock and on urgent news, not on every event

Cause: each batch of events judged and planned the whole fleet anew, 200 times a second, and each probe's answer walked all hosts. Now plans go by the 200 ms tick, and within 50 ms of news of the list or a gate; the newest sums' time is kept. Holds against any flood of events; a plan may come up to a tick later for news that is not urgent (joins, sums).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,8 +1,6 @@
-//! amberarch's decisions: which hosts the proxies' tables name, who is shut out, and when.
-//!
-//! How to call it: make one [`Steward`] for each instance from its start facts, then hand all
-//! events of one moment to `decide` and carry out the orders that come back, in their order. The
-//! interface (ids, facts, events, orders) is the crate `amberarch-core`.
+//! amberarch's decisions. How to call it: make one [`Steward`] for each instance from its start
+//! facts, then hand all events of one moment to `decide` and carry out the orders that come back,
+//! in their order. The interface (ids, facts, events, orders) is the crate `amberarch-core`.
 //!
 //! The design: every listed host is probed each period; a run of fails gates it and withdraws it;
 //! a run of passes lifts the gate; tables are few and shared, at listed weight. What departs from
@@ -24,12 +22,13 @@
 }
 
 impl Tally {
-    fn plus(mut self, other: Tally) -> Tally {
-        self.tries += other.tries;
-        self.voided += other.voided;
-        self.took += other.took;
-        self.over += other.over;
-        self
+    fn new(tries: u32, voided: u32, mean: f64, over: f64) -> Tally {
+        let (tries, voided) = (f64::from(tries), f64::from(voided));
+        Tally { tries, voided, took: mean * (tries - voided), over }
+    }
+    fn plus(self, other: Tally) -> Tally {
+        let (tries, voided) = (self.tries + other.tries, self.voided + other.voided);
+        Tally { tries, voided, took: self.took + other.took, over: self.over + other.over }
     }
     fn voided_part(&self) -> f64 {
         self.voided / self.tries.max(1.0)
@@ -77,7 +76,6 @@
 /// The guide's examples: three failures in a row gate, two passes in a row lift.
 const FAILS_TO_GATE: u32 = 3;
 const PASSES_TO_LIFT: u32 = 2;
-/// The design's start value, kept.
 const PROBE_PERIOD: f64 = 1_000.0;
 
 /// A light probe says that a process runs, no more: good real answers, late ones too, outrank one
@@ -93,9 +91,8 @@
     }
 }
 
-/// A window of late sums as one more probe. Only what stands out from the other hosts counts: if
-/// all worsen together it is load, the path or something shared. A host that answers slowly beside
-/// what it voids is overrun, not bad: gating it would overrun the next.
+/// A window of late sums as one more probe. Only what stands out from the other hosts counts: what all
+/// share is load, the path or the like. One slow beside what it voids is overrun: gating overruns the next.
 fn fails_txns(real: &Tally, usual_part: f64, sla: f64) -> bool {
     let part = real.voided_part();
     let overrun = real.good() >= 1.0 && real.mean() > 0.7 * sla;
@@ -150,7 +147,7 @@
     cold_since: Option<f64>,
     gate: Gate,
     met: BTreeMap<ZoneId, Ring>,
-    summed_at: f64,
+    summed: bool,
     probed_at: f64,
     /// The part of its listed weight that its speed bears out, and when that was last changed.
     pace: f64,
@@ -295,7 +292,6 @@
             let level = match kind {
                 LevelKind::Rate if share > 0.98 => 1e6,
                 LevelKind::Rate => even_rate(ask.rates, share),
-                _ if share > 0.98 => 1.0,
                 _ => (share * 20.0).round() / 20.0,
             };
             (ask.id, level, tries)
@@ -339,8 +335,8 @@
 
 // ---------------------------------------------------------------- the channel
 
-/// What waits in the channel, at the most: messages leave it one after another, so an answer to a
-/// mark shows that all written before it have left. Holds whatever pace the channel has.
+/// What waits in the channel, at the most, whatever its pace: messages leave it one after another,
+/// so an answer to a mark shows that all written before it have left.
 struct Queue {
     channel: Channel,
     sent: VecDeque<(MarkId, BTreeMap<ProxyId, f64>)>,
@@ -396,7 +392,6 @@
 
 // ---------------------------------------------------------------- the steward
 
-/// Tables, by number: one a zone, and one more a zone for products confined to theirs.
 #[derive(Clone, Default)]
 struct Plan {
     held: BTreeSet<HostId>,
@@ -425,6 +420,9 @@
     /// Good answers a second for each unit of weight: the best seen, forgotten by and by.
     best: f64,
     present: Plan,
+    summed_at: f64,
+    planned_at: f64,
+    urgent: bool,
     draws: u64,
 }
 
@@ -434,15 +432,18 @@
     fn decide(&mut self, now: f64, events: &[Event]) -> Vec<Order> {
         let mut out = Vec::new();
         events.iter().for_each(|event| self.hear(now, event));
-        let chance = self.chance();
-        if self.draws == 1 || events.iter().any(|event| matches!(event, Event::Due { .. })) {
+        let due = self.draws == 0 || events.iter().any(|event| matches!(event, Event::Due { .. }));
+        if due {
             out.push(Order::Timer { after: TICK, timer: TimerId(0) });
+            let chance = self.chance();
+            self.watch.ask(now, chance, &mut out);
         }
-        self.watch.ask(now, chance, &mut out);
-        // Slices are carried, not decided yet: no order that they would make illegal.
-        if self.post.slices == 0 {
+        // Guards CPU in large fleets: plans go by the clock, and at once only on news of list or gates.
+        // Slices are carried, not decided yet.
+        if self.post.slices == 0 && (due || self.urgent && now >= self.planned_at + TICK / 4.0) {
             self.probe(now, &mut out);
             self.judge(now);
+            (self.urgent, self.planned_at) = (false, now);
             let wanted = self.want(now);
             self.publish(now, wanted, &mut out);
         }
@@ -462,13 +463,13 @@
     ) -> Self {
         let watch = Watch { roster, asked_at: f64::MIN, failures: 0, watching: false };
         let queue = Queue { channel, sent: VecDeque::new(), marks: 0 };
-        let (spill, present) = (Spill::default(), Plan::default());
         let sla = products.iter().map(|product| product.sla).sum::<f64>() / products.len().max(1) as f64;
         #[rustfmt::skip]
         let steward = Steward {
-            post, products, sla, sidecars, warmup, sums, watch, queue, spill, present,
-            hosts: BTreeMap::new(), proxies: BTreeMap::new(), levels: BTreeMap::new(),
-            usual_voided: 0.0, best: 0.0, draws: 0,
+            post, products, sla, sidecars, warmup, sums, watch, queue,
+            spill: Spill::default(), present: Plan::default(), levels: BTreeMap::new(),
+            hosts: BTreeMap::new(), proxies: BTreeMap::new(), usual_voided: 0.0, best: 0.0, draws: 0,
+            summed_at: f64::MIN, planned_at: f64::MIN, urgent: false,
         };
         steward
     }
@@ -496,27 +497,26 @@
             Event::Left { proxy } => self.left(*proxy),
             Event::Met { host, zone, tries, voided, mean, over, .. } => {
                 if let Some(host) = self.hosts.get_mut(host) {
-                    let (tries, voided) = (f64::from(*tries), f64::from(*voided));
-                    let tally = Tally { tries, voided, took: mean * (tries - voided), over: *over };
+                    let tally = Tally::new(*tries, *voided, *mean, *over);
                     host.met.entry(*zone).or_default().add(now, tally);
-                    host.summed_at = now;
+                    (host.summed, self.summed_at) = (true, now);
                 }
             }
             Event::Came { proxy, product, txns, voided, over } => {
                 if let Some(proxy) = self.proxies.get_mut(proxy) {
-                    let (tries, voided) = (f64::from(*txns), f64::from(*voided));
-                    let tally = Tally { tries, voided, took: 0.0, over: *over };
+                    let tally = Tally::new(*txns, *voided, 0.0, *over);
                     proxy.came.entry(*product).or_default().add(now, tally);
                 }
             }
             Event::Probed { host, outcome, .. } => {
                 // Where sums are late altogether, the last that came still tell a busy host.
-                let newest = self.hosts.values().map(|host| host.summed_at).fold(f64::MIN, f64::max);
+                let span = self.sums.every + BUCKET + now - self.summed_at;
                 if let Some(host) = self.hosts.get_mut(host) {
-                    let pass = passes(*outcome, &host.met(now, self.sums.every + BUCKET + now - newest));
+                    let pass = passes(*outcome, &host.met(now, span));
                     host.gate.count(now, pass, 1, true);
+                    self.urgent |= host.gate.shut && (pass == Some(true) || host.gate.shut_at == now);
+                    // A fail is asked after soon: a run then shows in little over a second.
                     if pass == Some(false) && !host.gate.shut {
-                        // A fail is asked after soon: a run then shows in little over a second.
                         host.probed_at = now + TICK - PROBE_PERIOD;
                     }
                 }
@@ -535,7 +535,7 @@
     }
 
     fn learn(&mut self, now: f64, news: ListNews, entries: &[Listed]) {
-        self.watch.failures = 0;
+        (self.watch.failures, self.urgent) = (0, true);
         if news != ListNews::Changes {
             let listed: BTreeSet<HostId> = entries.iter().map(|entry| entry.host).collect();
             let missing = self.hosts.iter_mut().filter(|(id, _)| !listed.contains(id));
@@ -547,7 +547,7 @@
             #[rustfmt::skip]
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host {
                 zone, kind: entry.kind, weight, standing, cold_since: None, gate: Gate::default(),
-                met: BTreeMap::new(), summed_at: f64::MIN, probed_at: f64::MIN, pace: 1.0, paced_at: f64::MIN,
+                met: BTreeMap::new(), summed: false, probed_at: f64::MIN, pace: 1.0, paced_at: f64::MIN,
             });
             (host.zone, host.standing, host.weight) = (zone, standing, weight);
             let known = host.cold_since.unwrap_or(now - self.warmup.within);
@@ -589,7 +589,7 @@
         let mut shut: f64 = on().filter(|host| host.gate.shut).map(|host| host.weight).sum();
         self.usual_voided = usual;
         for host in self.hosts.values_mut().filter(|host| host.standing == Standing::On) {
-            if host.summed_at == now {
+            if std::mem::take(&mut host.summed) {
                 let real = host.met(now, window);
                 let kind = slow_kinds.get(&host.kind).map_or(1.0, |sum| sum.mean() / quickest);
                 // The slowest answer too little for a short window, once their last step is well past.
@@ -638,17 +638,17 @@
         let open = |(id, host): &(&HostId, &Host)| !host.gate.shut && parts.contains_key(id);
         let none_open = !self.hosts.iter().any(|host| open(&host));
         let warm = |host: &Host| host.cold_since.is_none_or(|at| now >= at + within);
-        let carried = |zone: ZoneId, all: bool| -> f64 {
-            let there = self.hosts.iter().filter(|(id, host)| host.zone == zone && parts.contains_key(id));
-            there
-                .filter(|(_, host)| warm(host) && (all || !host.gate.shut))
-                .map(|(_, host)| host.weight)
-                .sum()
-        };
+        // By zone, the weight of its warm hosts: of all, and of those not gated.
+        let mut carried: BTreeMap<ZoneId, (f64, f64)> = BTreeMap::new();
+        for (_, host) in self.hosts.iter().filter(|(id, host)| warm(host) && parts.contains_key(id)) {
+            let (all, ungated) = carried.entry(host.zone).or_default();
+            (*all, *ungated) =
+                (*all + host.weight, *ungated + if host.gate.shut { 0.0 } else { host.weight });
+        }
         for (id, host) in &self.hosts {
             // With every host gated, gates are ignored; so too, while most of a zone's warm hosts are
             // gated, where a product may not leave it. Nor are cold ones let in then: they would get all.
-            let few = carried(host.zone, false) < 0.5 * carried(host.zone, true);
+            let few = carried.get(&host.zone).is_some_and(|(all, ungated)| *ungated < 0.5 * all);
             let gated = host.gate.shut && !none_open && !(few && confined);
             if gated || !parts.contains_key(id) || (few && !warm(host)) {
                 plan.held.insert(*id);
@@ -721,8 +721,8 @@
         let met: Vec<Tally> = met.filter(|met| !fails_txns(met, self.usual_voided, self.sla)).collect();
         let settled = met.iter().map(Tally::rate).sum();
         let real = met.into_iter().fold(Tally::default(), Tally::plus);
-        let level =
-            self.levels.entry(zone).or_insert(Level { share: 1.0, judged_at: f64::MIN, pressed: false });
+        let fresh = Level { share: 1.0, judged_at: f64::MIN, pressed: false };
+        let level = self.levels.entry(zone).or_insert(fresh);
         if self.sidecars.levels != LevelKind::Off {
             level.judge(now, &real, settled, &asks, self.sums.every);
         }
@@ -803,7 +803,7 @@
             return;
         }
         for (_, proxy) in self.proxies.iter_mut().filter(|(id, _)| lines.contains_key(id)) {
-            proxy.messages.add(now, Tally { tries: 1.0, ..Tally::default() });
+            proxy.messages.add(now, Tally::new(1, 0, 0.0, 0.0));
         }
         let mark = MarkId(self.queue.marks);
         self.queue.marks = self.queue.marks.wrapping_add(1);
