Seat proxies at small shared tables of a zone, by what they ask

Cause: proxies were bound to whole zones of 90 to 300 hosts. Now a zone's hosts have places, a zone's tables are a tree (all hosts, halves, down to the size of the table that proxies start with), and a proxy sits at the smallest table of which it asks half the fair share, the least loaded of its size; it leaves a table at 1.4 times the fair load. A table whose hosts are gated or cold loses its proxies by the same rule. Withdrawals are counted for those that may hold the host.

May harm where streams change faster than sums come.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -119,6 +119,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Sidecars {
     pub count: u32,
+    /// Hosts at most in the table that a proxy starts with.
+    pub standing: u32,
     pub bare_for: f64,
     pub levels: LevelKind,
     pub usual_tries: Tries,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,8 +10,6 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-// ---------------------------------------------------------------- measures over time
-
 #[derive(Clone, Copy, Default)]
 struct Tally {
     tries: f64,
@@ -104,44 +102,36 @@
     fails: u32,
     passes: u32,
     shut: bool,
-    shut_at: f64,
-    /// Real txns failed, not probes: passing probes say little about the return.
-    by_sums: bool,
+    /// To when it stays shut at least.
+    until: f64,
     relapses: i32,
     /// Since its last lift: to when it carries a part only.
     trial_until: Option<f64>,
 }
 
 impl Gate {
-    fn count(&mut self, now: f64, pass: Option<bool>, weighing: u32, may_shut: bool) {
+    /// Guards against a host that passes probes but fails txns by a least time, and against flapping: each
+    /// relapse doubles the wait, and it comes back in part. It holds back by as much a host that is well.
+    fn count(&mut self, now: f64, pass: Option<bool>, weighing: u32, least: f64) {
         match pass {
             None => {}
             Some(true) => (self.fails, self.passes) = (0, self.passes + 1),
             Some(false) => (self.fails, self.passes) = (self.fails + weighing, 0),
         }
-        if self.fails >= FAILS_TO_GATE && !self.shut && may_shut {
+        if self.fails >= FAILS_TO_GATE && !self.shut {
             // A gate that shuts again this soon after a lift is a flapper's.
             let soon = self.trial_until.is_some_and(|until| now < until + 15_000.0);
             self.relapses = if soon { self.relapses + 1 } else { 0 };
-            (self.shut, self.shut_at) = (true, now);
-        }
-    }
-
-    /// Guards against a host that passes probes but fails txns, and against flapping: each relapse
-    /// doubles the wait, and it comes back in part. It holds back by as much a host that is well.
-    fn lift(&mut self, now: f64, trial: f64) {
-        let first = if self.by_sums { 8_000.0 } else { 0.0 };
-        let wait = f64::max(first, 4_000.0 * (2f64.powi(self.relapses.min(4)) - 1.0));
-        if self.shut && self.passes >= PASSES_TO_LIFT && now >= self.shut_at + wait {
-            self.trial_until = Some(now + if self.relapses > 0 { trial } else { 0.0 });
-            (self.shut, self.by_sums, self.fails) = (false, false, 0);
+            let wait = 4_000.0 * (2f64.powi(self.relapses.min(4)) - 1.0);
+            (self.shut, self.until) = (true, now + f64::max(least, wait));
         }
     }
 }
 
 struct Host {
     zone: ZoneId,
-    kind: KindId,
+    /// It says in which of its zone's smaller tables the host stands.
+    place: u32,
     weight: f64,
     standing: Standing,
     cold_since: Option<f64>,
@@ -169,10 +159,9 @@
         Some(f64::min(step, trial) * self.pace)
     }
 
-    /// Guards against hosts slower than their listed weight: one whose good answers come late while
-    /// the others' do not, or whose kind is slower by `kind`, carries less, a partial gate in few sticky
-    /// steps, each seen in later sums only. A host slow for other reasons loses traffic too.
-    fn ease(&mut self, now: f64, real: &Tally, usual_mean: f64, kind: f64, sla: f64, every: f64) {
+    /// Guards against hosts slower than listed: one whose good answers come late beside the others' carries
+    /// less, in few sticky steps, each seen in later sums only. One slow for other reasons loses traffic too.
+    fn ease(&mut self, now: f64, real: &Tally, usual_mean: f64, sla: f64, every: f64) {
         let mean = real.mean();
         if real.good() < 6.0 || now < self.paced_at + 2.0 * every + 2_000.0 {
             return;
@@ -180,8 +169,6 @@
         if mean > 0.5 * sla && mean > 1.6 * usual_mean && self.pace > 0.15 {
             let step = (1.6 * usual_mean / mean).clamp(0.5, 0.75);
             (self.pace, self.paced_at) = (self.pace * step, now);
-        } else if kind > 1.0 && self.pace > 0.6 {
-            (self.pace, self.paced_at) = (self.pace * (1.6 / kind).clamp(0.7, 0.8), now);
         } else if self.pace < 1.0 && mean < 0.8 * usual_mean && now > self.paced_at + 10_000.0 {
             (self.pace, self.paced_at) = (f64::min(1.0, self.pace / 0.6), now);
         }
@@ -190,6 +177,8 @@
 
 struct Proxy {
     zone: ZoneId,
+    /// Its table in the tree of its zone's; zero: none yet.
+    node: u32,
     joined_rate: f64,
     came: BTreeMap<ProductId, Ring>,
     messages: Ring,
@@ -204,44 +193,35 @@
     }
 }
 
-/// The part of its weight that a zone's host has in another zone's table, by (table, hosts).
-#[derive(Default)]
-struct Spill {
-    parts: BTreeMap<(ZoneId, ZoneId), f64>,
-    planned: Option<(f64, Vec<f64>)>,
-}
-
-impl Spill {
-    /// Neighbours' hosts join where a zone's own carry more than the fleet's share, by skewed demand or
-    /// lost hosts. Costs crossings. Parts are sticky and in quarters: small shifts write no orders.
-    fn plan(&mut self, now: f64, weights: &[f64], demands: &[f64], movable: f64) {
-        let near = |(new, old): (&f64, &f64)| (new - old).abs() <= 0.2 * old;
-        let stands = |(at, old): &(f64, Vec<f64>)| now < at + 2_000.0 && weights.iter().zip(old).all(near);
-        if self.planned.as_ref().is_some_and(stands) {
-            return;
-        }
-        self.planned = Some((now, weights.to_vec()));
-        let fair = demands.iter().sum::<f64>() / weights.iter().sum::<f64>().max(1e-9);
-        let room: Vec<f64> = weights.iter().zip(demands).map(|(w, d)| (w * fair - d).max(0.0)).collect();
-        let all_room = room.iter().sum::<f64>().max(1e-9);
-        for (place, (weight, demand)) in weights.iter().zip(demands).enumerate() {
-            let out = f64::min(0.95, (demand - weight * fair).max(0.0) / (movable * demand).max(1e-9));
-            for other in (0..weights.len()).filter(|other| *other != place) {
-                // A zone with no host left takes all of its neighbours' on.
-                let flow = out * room[other] / all_room;
-                let each = flow * weight / (1.0 - out) / weights[other].max(1e-9);
-                let exact = if *weight > 0.0 { each } else { 1.0 };
-                let part = self.parts.entry((ZoneId(place as u16), ZoneId(other as u16))).or_insert(0.0);
-                if (exact - *part).abs() > 0.2 {
-                    *part = (exact * 4.0).round().min(4.0) / 4.0;
-                }
+/// Neighbours' hosts join where a zone's own carry more than the fleet's share, by skewed demand or lost
+/// hosts. Costs crossings. Parts are sticky and in quarters: small shifts write no orders.
+fn spill(parts: &mut BTreeMap<(ZoneId, ZoneId), f64>, weights: &[f64], demands: &[f64], movable: f64) {
+    let fair = demands.iter().sum::<f64>() / weights.iter().sum::<f64>().max(1e-9);
+    let room: Vec<f64> = weights.iter().zip(demands).map(|(w, d)| (w * fair - d).max(0.0)).collect();
+    let all_room = room.iter().sum::<f64>().max(1e-9);
+    for (place, (weight, demand)) in weights.iter().zip(demands).enumerate() {
+        let out = f64::min(0.95, (demand - weight * fair).max(0.0) / (movable * demand).max(1e-9));
+        for other in (0..weights.len()).filter(|other| *other != place) {
+            // A zone with no host left takes all of its neighbours' on.
+            let flow = out * room[other] / all_room;
+            let each = flow * weight / (1.0 - out) / weights[other].max(1e-9);
+            let exact = if *weight > 0.0 { each } else { 1.0 };
+            let part = parts.entry((ZoneId(place as u16), ZoneId(other as u16))).or_insert(0.0);
+            if (exact - *part).abs() > 0.2 {
+                *part = (exact * 4.0).round().min(4.0) / 4.0;
             }
         }
     }
 }
 
-/// What a zone asks of one product: a rate at each of its proxies, their sum, and the work of that;
-/// the SLA time stands in for the work of one txn, which is not told.
+/// The tables of a zone are a tree: node 1 names all its hosts; of the nodes from a power of two to
+/// the next, each names those whose place leaves that remainder.
+fn breadth(node: u32) -> u32 {
+    1 << node.ilog2()
+}
+
+/// What a zone asks of one product: a rate at each proxy, their sum, and the work of that; the SLA
+/// time stands in for the work of one txn, which is not told.
 struct Ask {
     id: ProductId,
     product: Product,
@@ -250,6 +230,47 @@
     work: f64,
 }
 
+/// Seats a zone's proxies at its tables, by the open weight in the smallest ones. Each goes to the
+/// smallest of which it asks half the fair share at most, and there to the least loaded; it stays
+/// until its rate fits no more or the table carries too much: by drift, gates or hosts come cold.
+fn seat(proxies: &mut BTreeMap<ProxyId, Proxy>, zone: ZoneId, asks: &[Ask], open: &[f64]) {
+    let most = open.len() as u32;
+    let groups = |node: u32| (node - breadth(node)..most).step_by(breadth(node) as usize);
+    let sum = |of: &[f64], node: u32| groups(node).map(|group| of[group as usize]).sum::<f64>();
+    // The load of a table beside the fair one, with one more part of the zone's demand on it.
+    let filled = |load: &[f64], node: u32, part: f64| {
+        (part + sum(load, node)) * sum(open, 1) / sum(open, node).max(1e-9)
+    };
+    let mut load = vec![0.0; open.len()];
+    let sit = |load: &mut [f64], node: u32, part: f64| {
+        let per_weight = part / sum(open, node).max(1e-9);
+        groups(node).for_each(|group| load[group as usize] += per_weight * open[group as usize]);
+    };
+    let all = asks.iter().map(|ask| ask.total).sum::<f64>().max(1e-9);
+    let here = proxies.iter_mut().filter(|(_, proxy)| proxy.zone == zone).enumerate();
+    let part = |at: usize| asks.iter().map(|ask| ask.rates[at]).sum::<f64>().max(1e-3 * all) / all;
+    let mut seats: Vec<(f64, &mut Proxy)> = here.map(|(at, (_, proxy))| (part(at), proxy)).collect();
+    seats.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let mut moves = Vec::new();
+    for (part, proxy) in seats {
+        let wide = breadth(proxy.node.max(1));
+        let asks = part * f64::from(wide);
+        let fits = proxy.node > 0 && wide <= most && asks <= 1.0 && (wide == most || asks > 0.125);
+        if fits && filled(&load, proxy.node, part) <= 1.4 {
+            sit(&mut load, proxy.node, part);
+        } else {
+            moves.push((part, proxy));
+        }
+    }
+    for (part, proxy) in moves {
+        let mut wides = (0..=most.ilog2()).map(|bits| most >> bits);
+        let wide = wides.find(|wide| part * f64::from(*wide) <= 0.5).unwrap_or(1);
+        let filled = |node: &u32| filled(&load, *node, part);
+        proxy.node = (wide..2 * wide).min_by(|a, b| filled(a).total_cmp(&filled(b))).unwrap_or(1);
+        sit(&mut load, proxy.node, part);
+    }
+}
+
 /// The part of a zone's work that is let in.
 struct Level {
     share: f64,
@@ -259,7 +280,7 @@
 
 impl Level {
     /// More asked than settled shows as slow good answers and as voided tries at all hosts alike.
-    /// Then what is let in falls toward what gets settled, else it rises again by small steps.
+    /// Then what is let in falls toward what gets settled, else it rises by the room that time leaves.
     fn judge(&mut self, now: f64, real: &Tally, settled: f64, asks: &[Ask], every: f64) {
         if now < self.judged_at + every || real.tries < 5.0 {
             return;
@@ -272,35 +293,12 @@
         if self.pressed {
             self.share = self.share.min(f64::max(settled / came, 0.75 * self.share)).max(0.3);
         } else {
-            // The more room the answers' time leaves, the longer the step.
             self.share = f64::min(1.0, self.share * (1.45 - slow).max(1.0));
         }
     }
-
-    /// Sheds the least revenue per work first, and leaves of each product a tenth.
-    fn split(&self, mut asks: Vec<Ask>, cold: Option<f64>, kind: LevelKind) -> Vec<(ProductId, f64, Tries)> {
-        let pays = |ask: &Ask| ask.product.revenue / ask.product.sla;
-        asks.sort_by(|a, b| pays(a).total_cmp(&pays(b)));
-        let most = cold.unwrap_or(1.0);
-        let mut shed = (1.0 - self.share.min(most)) * asks.iter().map(|ask| ask.work).sum::<f64>();
-        // Another try would seek out the hosts with room: cold ones.
-        let tries = if self.pressed || cold.is_some() { Tries::One } else { Tries::AfterProof };
-        let levels = asks.into_iter().map(|ask| {
-            let cut = f64::min(shed, f64::max(0.9, 1.0 - most) * ask.work);
-            shed -= cut;
-            let share = 1.0 - cut / ask.work.max(1e-9);
-            let level = match kind {
-                LevelKind::Rate if share > 0.98 => 1e6,
-                LevelKind::Rate => even_rate(ask.rates, share),
-                _ => (share * 20.0).round() / 20.0,
-            };
-            (ask.id, level, tries)
-        });
-        levels.collect()
-    }
 }
 
-/// The rate at each proxy with which so much of what came to all of them gets in.
+/// The rate at each proxy with which so much of what came to all gets in.
 fn even_rate(mut rates: Vec<f64>, share: f64) -> f64 {
     rates.sort_by(f64::total_cmp);
     let mut left = share * rates.iter().sum::<f64>();
@@ -315,24 +313,6 @@
     1e6
 }
 
-struct Watch {
-    roster: Roster,
-    asked_at: f64,
-    failures: i32,
-    watching: bool,
-}
-
-impl Watch {
-    /// Where the list must be asked it is watched; after a failure asked again, ever more rarely.
-    fn ask(&mut self, now: f64, chance: f64, out: &mut Vec<Order>) {
-        let wait = 600.0 * 2f64.powi(self.failures.min(3)) * (0.75 + 0.5 * chance);
-        if self.roster.asked && !self.watching && now >= self.asked_at + wait {
-            (self.asked_at, self.watching) = (now, true);
-            out.push(Order::Watch { on: true });
-        }
-    }
-}
-
 // ---------------------------------------------------------------- the channel
 
 /// What waits in the channel, at the most, whatever its pace: messages leave it one after another,
@@ -343,15 +323,6 @@
     marks: u16,
 }
 
-impl Queue {
-    fn applied(&mut self, proxy: ProxyId, mark: MarkId) {
-        if let Some(place) = self.sent.iter().position(|(sent, _)| *sent == mark) {
-            self.sent.drain(..place);
-            self.sent[0].1.remove(&proxy);
-        }
-    }
-}
-
 /// One reply as it is put together, with what it writes to each proxy.
 struct Reply<'a> {
     now: f64,
@@ -364,19 +335,17 @@
 
 impl Reply<'_> {
     /// Takes the orders in if backlog and message limits allow; `each` lines go to each of `whom`.
-    /// Half of both is kept for what cannot wait: drains, gates and bare proxies.
+    /// Half of both is kept for what cannot wait.
     fn take(&mut self, urgent: bool, whom: &[ProxyId], each: f64, orders: &[Order]) -> bool {
         let channel = self.channel;
         let (part, spare) = if urgent { (0.85, 3) } else { (0.5, channel.messages / 2) };
         let most = f64::from(channel.messages.saturating_sub(spare).max(1));
-        let mut cost = each * whom.len() as f64;
-        for proxy in whom.iter().filter(|proxy| !self.lines.contains_key(proxy)) {
-            cost += channel.head + 1.0;
-            let span = channel.messages_over + 2.0 * BUCKET;
-            let written = self.proxies.get(proxy).map_or(0.0, |p| p.messages.last(self.now, span).tries);
-            if channel.messages > 0 && written + 1.0 > most {
-                return false;
-            }
+        let span = channel.messages_over + 2.0 * BUCKET;
+        let written = |id: &ProxyId| self.proxies[id].messages.last(self.now, span).tries;
+        let mut fresh = whom.iter().filter(|id| !self.lines.contains_key(id));
+        let cost = each * whom.len() as f64 + (channel.head + 1.0) * fresh.clone().count() as f64;
+        if channel.messages > 0 && fresh.any(|id| written(id) + 1.0 > most) {
+            return false;
         }
         if self.waiting + cost > part * channel.backlog {
             return false;
@@ -392,13 +361,16 @@
 
 // ---------------------------------------------------------------- the steward
 
+/// A table: its zone, whether for products confined to it, and its node in the zone's tree.
+type Tbl = (ZoneId, bool, u32);
+
 #[derive(Clone, Default)]
 struct Plan {
     held: BTreeSet<HostId>,
-    lines: BTreeMap<TblId, BTreeMap<HostId, f64>>,
+    lines: BTreeMap<Tbl, BTreeMap<HostId, f64>>,
     /// By proxy, and whether for the confined products.
-    binds: BTreeMap<(ProxyId, bool), TblId>,
-    levels: BTreeMap<(TblId, Products), (f64, Tries)>,
+    binds: BTreeMap<(ProxyId, bool), Tbl>,
+    levels: BTreeMap<(Tbl, Products), (f64, Tries)>,
 }
 
 pub struct Steward {
@@ -409,11 +381,15 @@
     sidecars: Sidecars,
     warmup: Warmup,
     sums: Sums,
-    watch: Watch,
+    roster: Roster,
+    /// Calls of the list that failed in a row, and when the next is due.
+    failures: i32,
+    ask_at: f64,
     queue: Queue,
     hosts: BTreeMap<HostId, Host>,
     proxies: BTreeMap<ProxyId, Proxy>,
-    spill: Spill,
+    /// The part of its weight that a zone's host has in another zone's table, by (table, hosts).
+    spill: BTreeMap<(ZoneId, ZoneId), f64>,
     levels: BTreeMap<ZoneId, Level>,
     /// The voided part of tries at the median host.
     usual_voided: f64,
@@ -435,16 +411,19 @@
         let due = self.draws == 0 || events.iter().any(|event| matches!(event, Event::Due { .. }));
         if due {
             out.push(Order::Timer { after: TICK, timer: TimerId(0) });
-            let chance = self.chance();
-            self.watch.ask(now, chance, &mut out);
+            self.draws += 1;
+        }
+        // Where the list must be asked it is watched; after a failure asked again, ever more rarely.
+        if self.roster.asked && now >= self.ask_at {
+            self.ask_at = f64::MAX;
+            out.push(Order::Watch { on: true });
         }
         // Guards CPU in large fleets: plans go by the clock, and at once only on news of list or gates.
         // Slices are carried, not decided yet.
         if self.post.slices == 0 && (due || self.urgent && now >= self.planned_at + TICK / 4.0) {
-            self.probe(now, &mut out);
-            self.judge(now);
-            (self.urgent, self.planned_at) = (false, now);
+            self.judge(now, &mut out);
             let wanted = self.want(now);
+            (self.urgent, self.planned_at) = (false, now);
             self.publish(now, wanted, &mut out);
         }
         out
@@ -452,26 +431,19 @@
 }
 
 impl Steward {
+    #[rustfmt::skip]
     pub fn new(
-        post: Post,
-        products: Vec<Product>,
-        channel: Channel,
-        sidecars: Sidecars,
-        warmup: Warmup,
-        roster: Roster,
-        sums: Sums,
+        post: Post, products: Vec<Product>, channel: Channel, sidecars: Sidecars, warmup: Warmup,
+        roster: Roster, sums: Sums,
     ) -> Self {
-        let watch = Watch { roster, asked_at: f64::MIN, failures: 0, watching: false };
         let queue = Queue { channel, sent: VecDeque::new(), marks: 0 };
         let sla = products.iter().map(|product| product.sla).sum::<f64>() / products.len().max(1) as f64;
-        #[rustfmt::skip]
-        let steward = Steward {
-            post, products, sla, sidecars, warmup, sums, watch, queue,
-            spill: Spill::default(), present: Plan::default(), levels: BTreeMap::new(),
+        Steward {
+            post, products, sla, sidecars, warmup, sums, queue, roster, failures: 0, ask_at: f64::MIN,
+            spill: BTreeMap::new(), present: Plan::default(), levels: BTreeMap::new(),
             hosts: BTreeMap::new(), proxies: BTreeMap::new(), usual_voided: 0.0, best: 0.0, draws: 0,
             summed_at: f64::MIN, planned_at: f64::MIN, urgent: false,
-        };
-        steward
+        }
     }
 
     /// Between 0 and 1, from the instance's seed and a counter.
@@ -485,13 +457,14 @@
     fn hear(&mut self, now: f64, event: &Event) {
         match event {
             Event::List { news: ListNews::Failed, .. } => {
-                (self.watch.watching, self.watch.failures) = (false, self.watch.failures + 1);
+                let wait = 600.0 * 2f64.powi(self.failures.min(3)) * (0.75 + 0.5 * self.chance());
+                (self.failures, self.ask_at) = (self.failures + 1, now + wait);
             }
             Event::List { news, entries } => self.learn(now, *news, entries),
             Event::Joined { proxy, zone, txns_per_s, .. } => {
                 self.left(*proxy);
                 let (came, messages) = (BTreeMap::new(), Ring::default());
-                let joined = Proxy { zone: *zone, joined_rate: *txns_per_s, came, messages };
+                let joined = Proxy { zone: *zone, node: 0, joined_rate: *txns_per_s, came, messages };
                 self.proxies.insert(*proxy, joined);
             }
             Event::Left { proxy } => self.left(*proxy),
@@ -513,15 +486,21 @@
                 let span = self.sums.every + BUCKET + now - self.summed_at;
                 if let Some(host) = self.hosts.get_mut(host) {
                     let pass = passes(*outcome, &host.met(now, span));
-                    host.gate.count(now, pass, 1, true);
-                    self.urgent |= host.gate.shut && (pass == Some(true) || host.gate.shut_at == now);
+                    let shut = host.gate.shut;
+                    host.gate.count(now, pass, 1, 0.0);
+                    self.urgent |= host.gate.shut && pass != Some(shut);
                     // A fail is asked after soon: a run then shows in little over a second.
                     if pass == Some(false) && !host.gate.shut {
                         host.probed_at = now + TICK - PROBE_PERIOD;
                     }
                 }
             }
-            Event::Applied { proxy, mark, .. } => self.queue.applied(*proxy, *mark),
+            Event::Applied { proxy, mark, .. } => {
+                if let Some(place) = self.queue.sent.iter().position(|(sent, _)| sent == mark) {
+                    self.queue.sent.drain(..place);
+                    self.queue.sent[0].1.remove(proxy);
+                }
+            }
             _ => {}
         }
     }
@@ -529,27 +508,32 @@
     fn left(&mut self, proxy: ProxyId) {
         self.proxies.remove(&proxy);
         self.present.binds.retain(|(bound, _), _| *bound != proxy);
-        for (_, lines) in &mut self.queue.sent {
-            lines.remove(&proxy);
-        }
+        self.queue.sent.iter_mut().for_each(|(_, lines)| lines.retain(|whom, _| *whom != proxy));
     }
 
     fn learn(&mut self, now: f64, news: ListNews, entries: &[Listed]) {
-        (self.watch.failures, self.urgent) = (0, true);
+        (self.failures, self.urgent) = (0, true);
         if news != ListNews::Changes {
             let listed: BTreeSet<HostId> = entries.iter().map(|entry| entry.host).collect();
             let missing = self.hosts.iter_mut().filter(|(id, _)| !listed.contains(id));
             missing.for_each(|(_, host)| host.standing = Standing::Gone);
         }
+        // Places are dealt by weight, the lowest free one first, so that tables of one size carry alike.
+        let listed = self.hosts.values().filter(|host| host.standing != Standing::Gone);
+        let mut taken: BTreeSet<(ZoneId, u32)> = listed.map(|host| (host.zone, host.place)).collect();
+        let mut entries: Vec<&Listed> = entries.iter().collect();
+        entries.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(a.kind.cmp(&b.kind)));
         for entry in entries {
             let (zone, standing) = (entry.zone, entry.standing);
             let weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
+            let free = (0..).find(|place| !taken.contains(&(zone, *place))).unwrap_or(0);
             #[rustfmt::skip]
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host {
-                zone, kind: entry.kind, weight, standing, cold_since: None, gate: Gate::default(),
+                zone, place: free, weight, standing, cold_since: None, gate: Gate::default(),
                 met: BTreeMap::new(), summed: false, probed_at: f64::MIN, pace: 1.0, paced_at: f64::MIN,
             });
             (host.zone, host.standing, host.weight) = (zone, standing, weight);
+            taken.insert((zone, host.place));
             let known = host.cold_since.unwrap_or(now - self.warmup.within);
             if let Some(born) = entry.born.filter(|born| *born > known) {
                 // What it did before it started anew says nothing: two passes bring it back.
@@ -559,59 +543,42 @@
         }
     }
 
-    fn probe(&mut self, now: f64, out: &mut Vec<Order>) {
-        let on = self.hosts.iter_mut().filter(|(_, host)| host.standing == Standing::On);
-        for (id, host) in on.filter(|_| self.post.may_probe) {
-            if now >= host.probed_at + PROBE_PERIOD - 1.0 {
-                host.probed_at = now;
-                out.push(Order::Probe { host: *id });
-            }
-        }
-    }
-
-    fn judge(&mut self, now: f64) {
+    fn judge(&mut self, now: f64, out: &mut Vec<Order>) {
         let (window, long, sla) = (self.sums.every + BUCKET, self.sums.every + 2_000.0, self.sla);
         let on = || self.hosts.values().filter(|host| host.standing == Standing::On);
         let tried = on().map(|host| host.met(now, window)).filter(|real| real.tries >= 3.0);
         let usual = 1.0 - median(tried.map(|real| 1.0 - real.voided_part()).collect());
         let means = on().map(|host| host.met(now, long)).filter(|real| real.good() >= 6.0);
         let usual_mean = median(means.map(|real| real.mean()).collect());
-        // Where the list gives no weights: pooled by kind, answers tell sooner that hosts are slow.
-        let mut slow_kinds: BTreeMap<KindId, Tally> = BTreeMap::new();
-        for host in on().filter(|host| !host.gate.shut && host.weight == 1.0) {
-            let sum = slow_kinds.entry(host.kind).or_default();
-            *sum = sum.plus(host.met(now, long));
-        }
-        slow_kinds.retain(|_, sum| sum.good() >= 20.0);
-        let quickest = slow_kinds.values().map(Tally::mean).fold(f64::MAX, f64::min);
-        slow_kinds.retain(|_, sum| sum.mean() > f64::max(2.0 * quickest, 0.25 * sla));
         let all: f64 = on().map(|host| host.weight).sum();
         let mut shut: f64 = on().filter(|host| host.gate.shut).map(|host| host.weight).sum();
         self.usual_voided = usual;
-        for host in self.hosts.values_mut().filter(|host| host.standing == Standing::On) {
+        for (id, host) in self.hosts.iter_mut().filter(|(_, host)| host.standing == Standing::On) {
+            if self.post.may_probe && now >= host.probed_at + PROBE_PERIOD - 1.0 {
+                host.probed_at = now;
+                out.push(Order::Probe { host: *id });
+            }
             if std::mem::take(&mut host.summed) {
                 let real = host.met(now, window);
-                let kind = slow_kinds.get(&host.kind).map_or(1.0, |sum| sum.mean() / quickest);
                 // The slowest answer too little for a short window, once their last step is well past.
                 let few = host.met(now, long).good() < 6.0 && now > host.paced_at + 3.0 * long;
                 let lately = host.met(now, if few { 3.0 * long } else { long });
-                host.ease(now, &lately, usual_mean, kind, sla, self.sums.every);
+                host.ease(now, &lately, usual_mean, sla, self.sums.every);
                 // The rest must carry what is gated by sums: a third of the fleet at the most.
-                if fails_txns(&real, usual, sla) {
-                    let (may, before) = (shut + host.weight <= 0.34 * all, host.gate.shut);
-                    host.gate.count(now, Some(false), 1 + (self.sums.every / PROBE_PERIOD) as u32, may);
-                    host.gate.by_sums |= host.gate.shut;
-                    shut += if host.gate.shut && !before { host.weight } else { 0.0 };
+                if fails_txns(&real, usual, sla) && (host.gate.shut || shut + host.weight <= 0.34 * all) {
+                    shut -= if host.gate.shut { host.weight } else { 0.0 };
+                    host.gate.count(now, Some(false), 1 + (self.sums.every / PROBE_PERIOD) as u32, 8_000.0);
+                    shut += if host.gate.shut { host.weight } else { 0.0 };
                 }
             }
-            host.gate.lift(now, 2.0 * self.sums.every + 1_500.0);
+            let gate = &mut host.gate;
+            if gate.shut && gate.passes >= PASSES_TO_LIFT && now >= gate.until {
+                let trial = if gate.relapses > 0 { 2.0 * self.sums.every + 1_500.0 } else { 0.0 };
+                (gate.shut, gate.fails, gate.trial_until) = (false, 0, Some(now + trial));
+            }
         }
     }
 
-    fn tbl(&self, zone: ZoneId, confined: bool) -> TblId {
-        TblId(zone.0 + if confined { self.post.zones } else { 0 })
-    }
-
     fn products_of(&self, confined: bool) -> Products {
         let places = self.products.iter().enumerate().filter(|(_, p)| p.own_zone == confined);
         Products(places.fold(0, |mask, (place, _)| mask | (1 << place)))
@@ -633,88 +600,91 @@
         let zones: Vec<ZoneId> = (0..self.post.zones).map(ZoneId).collect();
         let confined = self.products.iter().any(|product| product.own_zone);
         let on = self.hosts.iter().filter(|(_, host)| host.standing == Standing::On);
-        let part = |(id, host): (&HostId, &Host)| Some((*id, host.part(now, &self.warmup)?));
-        let parts: BTreeMap<HostId, f64> = on.filter_map(part).collect();
-        let open = |(id, host): &(&HostId, &Host)| !host.gate.shut && parts.contains_key(id);
-        let none_open = !self.hosts.iter().any(|host| open(&host));
+        let able = |(id, host): (&HostId, &'_ Host)| Some((*id, host.part(now, &self.warmup)?));
+        let able: Vec<(HostId, f64)> = on.filter_map(able).collect();
+        let able = || able.iter().map(|(id, part)| (*id, &self.hosts[id], *part));
+        let none_open = able().all(|(_, host, _)| host.gate.shut);
         let warm = |host: &Host| host.cold_since.is_none_or(|at| now >= at + within);
-        // By zone, the weight of its warm hosts: of all, and of those not gated.
-        let mut carried: BTreeMap<ZoneId, (f64, f64)> = BTreeMap::new();
-        for (_, host) in self.hosts.iter().filter(|(id, host)| warm(host) && parts.contains_key(id)) {
-            let (all, ungated) = carried.entry(host.zone).or_default();
-            (*all, *ungated) =
-                (*all + host.weight, *ungated + if host.gate.shut { 0.0 } else { host.weight });
-        }
-        for (id, host) in &self.hosts {
-            // With every host gated, gates are ignored; so too, while most of a zone's warm hosts are
-            // gated, where a product may not leave it. Nor are cold ones let in then: they would get all.
-            let few = carried.get(&host.zone).is_some_and(|(all, ungated)| *ungated < 0.5 * all);
+        // Zones with most of their warm hosts' weight gated.
+        let few = |zone: &ZoneId| {
+            let there = able().map(|(_, host, _)| host).filter(|host| host.zone == *zone && warm(host));
+            let weigh = |host: &Host| if host.gate.shut { -host.weight } else { host.weight };
+            there.map(weigh).sum::<f64>() < 0.0
+        };
+        let few: BTreeSet<ZoneId> = zones.iter().copied().filter(few).collect();
+        plan.held = self.hosts.keys().copied().collect();
+        for (id, host, _) in able() {
+            // With every host gated, gates are ignored; so too, in a zone with few, where a product may
+            // not leave it. Nor are cold ones let in there: they would get all.
+            let few = few.contains(&host.zone);
             let gated = host.gate.shut && !none_open && !(few && confined);
-            if gated || !parts.contains_key(id) || (few && !warm(host)) {
-                plan.held.insert(*id);
+            if !gated && (!few || warm(host)) {
+                plan.held.remove(&id);
             }
         }
         let asks: Vec<Vec<Ask>> = zones.iter().map(|zone| self.asks(now, *zone)).collect();
-        let weights = zones.iter().map(|zone| {
-            let there = self.hosts.iter().filter(open).filter(|(_, host)| host.zone == *zone);
-            there.map(|(id, host)| host.weight * parts[id]).sum()
-        });
-        let weights: Vec<f64> = weights.collect();
+        let weigh = |zone: &ZoneId| {
+            let open = able().filter(|(_, host, _)| host.zone == *zone && !host.gate.shut);
+            open.map(|(_, host, part)| host.weight * part).sum()
+        };
+        let weights: Vec<f64> = zones.iter().map(weigh).collect();
         let demands: Vec<f64> = asks.iter().map(|asks| asks.iter().map(|ask| ask.total).sum()).collect();
         let free = asks.iter().flatten().filter(|ask| !ask.product.own_zone);
         let movable = free.map(|ask| ask.total).sum::<f64>() / demands.iter().sum::<f64>().max(1e-9);
-        self.spill.plan(now, &weights, &demands, movable);
+        spill(&mut self.spill, &weights, &demands, movable);
         let rings = self.hosts.values().flat_map(|host| host.met.values());
         let good: f64 = rings.map(|ring| ring.last(now, self.sums.every + BUCKET).rate()).sum();
         self.best = f64::max(self.best * 0.999, good / weights.iter().sum::<f64>().max(1e-9));
-        let mut usable = BTreeMap::new();
+        let mut usable: BTreeMap<(ZoneId, bool), f64> = BTreeMap::new();
+        let mut lines: BTreeMap<_, Vec<(u32, HostId, f64)>> = BTreeMap::new();
         for (zone, own) in zones.iter().flat_map(|zone| [(*zone, false), (*zone, true)]) {
-            let joins = |host: &Host| match self.spill.parts.get(&(zone, host.zone)) {
-                Some(part) if !own => *part,
-                _ => f64::from(u8::from(host.zone == zone)),
-            };
-            let takes =
-                |id: &HostId, host: &Host| own || plan.held.contains(id) || !host.gate.shut || none_open;
-            let there = parts.iter().map(|(id, part)| (id, part, &self.hosts[id]));
-            let there = there.filter(|(id, _, host)| joins(host) > 0.0 && takes(id, host));
-            let line = |(id, part, host): (&HostId, &f64, &Host)| (*id, host.weight * part * joins(host));
-            let lines: BTreeMap<HostId, f64> = there.map(line).collect();
-            let open = lines.iter().filter(|(id, _)| !plan.held.contains(id));
-            usable.insert(self.tbl(zone, own), open.map(|(_, weight)| *weight).sum::<f64>());
-            if confined || !own {
-                plan.lines.insert(self.tbl(zone, own), lines);
+            // The smallest tables have the size of those that proxies start with, or up to twice that.
+            let listed = |host: &&Host| host.zone == zone && host.standing != Standing::Gone;
+            let count = self.hosts.values().filter(listed).count() as u32;
+            let most = 1 << (count / self.sidecars.standing.max(1)).max(1).ilog2();
+            let mut open = vec![0.0; most];
+            for (id, host, part) in able() {
+                let joins = match self.spill.get(&(zone, host.zone)) {
+                    Some(part) if !own => *part,
+                    _ => f64::from(u8::from(host.zone == zone)),
+                };
+                let (weight, held) = (host.weight * part * joins, plan.held.contains(&id));
+                if weight > 0.0 && (own || held || !host.gate.shut || none_open) {
+                    lines.entry((zone, own)).or_default().push((host.place, id, weight));
+                    open[host.place as usize % most] += if held { 0.0 } else { weight };
+                }
+            }
+            usable.insert((zone, own), open.iter().sum());
+            if !own {
+                seat(&mut self.proxies, zone, &asks[zone.0 as usize], &open);
             }
         }
-        // A table with no host left to carry it: its proxies go to the one that has most.
-        let any = usable.iter().filter(|(tbl, _)| tbl.0 < self.post.zones);
-        let widest = any.max_by(|a, b| a.1.total_cmp(b.1)).map(|(tbl, _)| *tbl);
         for (id, proxy) in &self.proxies {
-            let home = self.tbl(proxy.zone, false);
-            let carried = usable.get(&home).is_some_and(|open| *open > 0.0);
-            if self.products_of(false) != Products::ALL {
-                plan.binds.insert((*id, false), if carried { home } else { widest.unwrap_or(home) });
-            }
-            if confined {
-                plan.binds.insert((*id, true), self.tbl(proxy.zone, true));
+            for own in [false, true].into_iter().filter(|own| self.products_of(*own) != Products::ALL) {
+                plan.binds.insert((*id, own), (proxy.zone, own, proxy.node));
             }
         }
+        for (zone, own, node) in plan.binds.values().chain(self.present.binds.values()).copied() {
+            let there = lines.get(&(zone, own)).into_iter().flatten();
+            let named = there.filter(|line| line.0 % breadth(node) == node - breadth(node));
+            plan.lines.insert((zone, own, node), named.map(|(_, id, weight)| (*id, *weight)).collect());
+        }
+        // Guards a zone that comes back all cold: its budget, of the best rate seen, bounds levels.
+        let cold: BTreeSet<ZoneId> = able().map(|able| able.1).filter(|h| !warm(h)).map(|h| h.zone).collect();
         for (zone, asks) in zones.iter().zip(asks) {
-            // Guards a zone that comes back all cold: its budget, of the best rate seen, bounds levels.
-            let here = |id: &HostId| self.hosts[id].zone == *zone && !warm(&self.hosts[id]);
-            let any_cold = parts.keys().any(here);
             let load = |own: bool| -> f64 {
                 let asked = asks.iter().filter(|ask| ask.product.own_zone == own).map(|ask| ask.total);
-                asked.sum::<f64>() / usable[&self.tbl(*zone, own)].max(1e-9)
+                asked.sum::<f64>() / usable[&(*zone, own)].max(1e-9)
             };
             let budget = 0.4 * self.warmup.multiple * self.best / (load(false) + load(true)).max(1e-9);
-            let most = any_cold.then_some(if self.best > 0.0 { budget.min(1.0) } else { 1.0 });
-            self.admit(now, *zone, asks, most, &mut plan);
+            let most = if self.best > 0.0 { budget.min(1.0) } else { 1.0 };
+            self.admit(now, *zone, asks, cold.contains(zone).then_some(most), &mut plan);
         }
         plan
     }
 
     /// Levels, zone by zone, from the zone's own figures: what its proxies met and what came.
-    fn admit(&mut self, now: f64, zone: ZoneId, asks: Vec<Ask>, most: Option<f64>, plan: &mut Plan) {
+    fn admit(&mut self, now: f64, zone: ZoneId, mut asks: Vec<Ask>, cold: Option<f64>, plan: &mut Plan) {
         let window = self.sums.every + BUCKET;
         let hosts = self.hosts.values().filter(|host| !host.gate.shut);
         let met = hosts.filter_map(|host| host.met.get(&zone)).map(|ring| ring.last(now, window));
@@ -726,33 +696,57 @@
         if self.sidecars.levels != LevelKind::Off {
             level.judge(now, &real, settled, &asks, self.sums.every);
         }
-        for (id, level, tries) in level.split(asks, most, self.sidecars.levels) {
-            let tbl = self.tbl(zone, self.products[id.0 as usize].own_zone);
-            plan.levels.insert((tbl, Products::one(id)), (level, tries));
+        // Sheds the least revenue per work first, and leaves of each product a tenth, but by a cold budget.
+        let pays = |ask: &Ask| ask.product.revenue / ask.product.sla;
+        asks.sort_by(|a, b| pays(a).total_cmp(&pays(b)));
+        let most = cold.unwrap_or(1.0);
+        let mut shed = (1.0 - level.share.min(most)) * asks.iter().map(|ask| ask.work).sum::<f64>();
+        // Another try would seek out the hosts with room: cold ones.
+        let tries = if level.pressed || cold.is_some() { Tries::One } else { Tries::AfterProof };
+        for ask in asks {
+            let cut = f64::min(shed, f64::max(0.9, 1.0 - most) * ask.work);
+            shed -= cut;
+            let share = 1.0 - cut / ask.work.max(1e-9);
+            let level = match self.sidecars.levels {
+                LevelKind::Rate if share > 0.98 => 1e6,
+                LevelKind::Rate => even_rate(ask.rates, share),
+                _ => (share * 20.0).round() / 20.0,
+            };
+            let tbls = plan.lines.keys().filter(|tbl| (tbl.0, tbl.1) == (zone, ask.product.own_zone));
+            plan.levels.extend(tbls.map(|tbl| ((*tbl, Products::one(ask.id)), (level, tries))));
         }
     }
 
-    /// The one place that turns what is wanted into orders: what differs from the present goes out,
-    /// the urgent first, as far as the channel takes it. What does not fit waits for the next call.
+    /// The one place that turns what is wanted into orders: what differs from the present goes out, the
+    /// urgent first, as far as the channel takes it. What does not fit waits for the next call.
     fn publish(&mut self, now: f64, wanted: Plan, out: &mut Vec<Order>) {
-        let users = |plan: &Plan, tbl: TblId| -> Vec<ProxyId> {
-            let bound = plan.binds.iter().filter(|(_, bound)| **bound == tbl);
-            bound.map(|((proxy, _), _)| *proxy).collect()
-        };
         let masks = [self.products_of(false), self.products_of(true)];
-        let everyone: Vec<ProxyId> = self.proxies.keys().copied().collect();
         let (channel, proxies) = (&self.queue.channel, &self.proxies);
         let waiting = self.queue.sent.iter().flat_map(|(_, lines)| lines.values()).sum();
         let (lines, orders) = (BTreeMap::new(), Vec::new());
         let mut reply = Reply { now, channel, proxies, lines, waiting, orders };
         let present = &mut self.present;
+        let number = |(zone, confined, node): Tbl| {
+            TblId(zone.0 + self.post.zones * (2 * (node.max(1) as u16 - 1) + u16::from(confined)))
+        };
+        let mut users: BTreeMap<Tbl, Vec<ProxyId>> = BTreeMap::new();
+        present.binds.iter().for_each(|((id, _), tbl)| users.entry(*tbl).or_default().push(*id));
+        // Those that may hold a host: proxies at a table that names it, and those not bound yet.
+        let holders = |present: &Plan, host: HostId| -> Vec<ProxyId> {
+            let names = |tbl: &Tbl| present.lines.get(tbl).is_some_and(|lines| lines.contains_key(&host));
+            let holds = |id: &&ProxyId| {
+                let mut bound = present.binds.range((**id, false)..=(**id, true)).peekable();
+                bound.peek().is_none() || bound.any(|(_, tbl)| names(tbl))
+            };
+            proxies.keys().filter(holds).copied().collect()
+        };
         for host in wanted.held.difference(&present.held.clone()).copied() {
-            if reply.take(true, &everyone, 1.0, &[Order::Withdraw { host, out: true }]) {
+            if reply.take(true, &holders(present, host), 1.0, &[Order::Withdraw { host, out: true }]) {
                 present.held.insert(host);
             }
         }
         for (tbl, lines) in &wanted.lines {
-            let whom = users(present, *tbl);
+            let whom = users.get(tbl).map_or(&[][..], Vec::as_slice);
             let standing = present.lines.entry(*tbl).or_default();
             // What goes is removed once all that comes back serves, or the rest would get it all.
             let serves = present.held.iter().all(|id| wanted.held.contains(id) || !lines.contains_key(id));
@@ -763,11 +757,10 @@
                 standing.get(host) != Some(weight) && !waits
             });
             let changes: Vec<(HostId, f64)> = gone.chain(news).collect();
-            let share =
-                |(host, weight): &(HostId, f64)| Order::Share { tbl: *tbl, host: *host, weight: *weight };
-            let orders: Vec<Order> = changes.iter().map(share).collect();
+            let share = |tbl: TblId| move |&(host, weight): &_| Order::Share { tbl, host, weight };
+            let orders: Vec<Order> = changes.iter().map(share(number(*tbl))).collect();
             let bare = standing.keys().all(|host| present.held.contains(host));
-            if !orders.is_empty() && reply.take(bare, &whom, orders.len() as f64, &orders) {
+            if !orders.is_empty() && reply.take(bare, whom, orders.len() as f64, &orders) {
                 standing.extend(changes);
                 standing.retain(|_, weight| *weight > 0.0);
             }
@@ -777,21 +770,22 @@
         let back: Vec<HostId> = present.held.difference(&wanted.held).copied().collect();
         let all_cold = back.iter().all(cold);
         for host in back.into_iter().filter(|id| all_cold || !cold(id)) {
-            if reply.take(true, &everyone, 1.0, &[Order::Withdraw { host, out: false }]) {
+            if reply.take(true, &holders(present, host), 1.0, &[Order::Withdraw { host, out: false }]) {
                 present.held.remove(&host);
             }
         }
         for (&(tbl, products), &(level, tries)) in &wanted.levels {
-            let order = Order::Admit { tbl, products, level, tries };
+            let order = Order::Admit { tbl: number(tbl), products, level, tries };
             let differs = present.levels.get(&(tbl, products)) != Some(&(level, tries));
-            if differs && reply.take(false, &users(present, tbl), 1.0, &[order]) {
+            let whom = users.get(&tbl).map_or(&[][..], Vec::as_slice);
+            if differs && reply.take(false, whom, 1.0, &[order]) {
                 present.levels.insert((tbl, products), (level, tries));
             }
         }
         for (&(proxy, confined), &tbl) in &wanted.binds {
             if present.binds.get(&(proxy, confined)) != Some(&tbl) {
                 let lines = present.lines.get(&tbl).map_or(0, BTreeMap::len) + self.products.len();
-                let bind = Order::Bind { proxy, tbl, products: masks[usize::from(confined)] };
+                let bind = Order::Bind { proxy, tbl: number(tbl), products: masks[usize::from(confined)] };
                 if reply.take(true, &[proxy], 2.0 * lines as f64 + 1.0, &[bind]) {
                     present.binds.insert((proxy, confined), tbl);
                 }
--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -94,6 +94,7 @@
     };
     let sidecars = Sidecars {
         count: s.count("familyInfo.agents")?,
+        standing: s.count("familyInfo.bootstrap")?,
         bare_for: s.time("familyInfo.emptyFor")?,
         levels: s.one_of(
             "familyInfo.levelKind",
