Return hosts after their weights; drains keep a share of the message limit

Now a host returns only once all tables in use give it its weight, and drains, urgent and routine orders may use 0.97, 0.83 and 0.67 of the messages and 0.95, 0.85 and 0.5 of the backlog. Holds as well against a slow channel and against many restarts at once; it may keep a host out longer where tables can't be written.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,7 +14,6 @@
 struct Tally {
     tries: f64,
     voided: f64,
-    /// Time of the good ones, summed.
     took: f64,
     over: f64,
 }
@@ -43,7 +42,7 @@
     }
 }
 
-/// Half a second a bucket: finer than any sum comes; 24 of them hold the longest look back.
+/// Finer than any sum comes, and enough of them for the longest look back.
 const BUCKET: f64 = 500.0;
 const BUCKETS: usize = 24;
 
@@ -102,16 +101,14 @@
     fails: u32,
     passes: u32,
     shut: bool,
-    /// To when it stays shut at least.
     until: f64,
     relapses: i32,
-    /// Since its last lift: to when it carries a part only.
-    trial_until: Option<f64>,
+    lifted_at: Option<f64>,
 }
 
 impl Gate {
     /// Guards against a host that passes probes but fails txns by a least time, and against flapping: each
-    /// relapse doubles the wait, and it comes back in part. It holds back by as much a host that is well.
+    /// relapse doubles the wait. It holds back by as much a host that is well.
     fn count(&mut self, now: f64, pass: Option<bool>, weighing: u32, least: f64) {
         match pass {
             None => {}
@@ -120,7 +117,7 @@
         }
         if self.fails >= FAILS_TO_GATE && !self.shut {
             // A gate that shuts again this soon after a lift is a flapper's.
-            let soon = self.trial_until.is_some_and(|until| now < until + 15_000.0);
+            let soon = self.lifted_at.is_some_and(|at| now < at + 15_000.0);
             self.relapses = if soon { self.relapses + 1 } else { 0 };
             let wait = 4_000.0 * (2f64.powi(self.relapses.min(4)) - 1.0);
             (self.shut, self.until) = (true, now + f64::max(least, wait));
@@ -155,8 +152,7 @@
         let age = self.cold_since.map_or(1.0, |since| (now - since) / warmup.within);
         let able = if age < 1.0 { warmup.from + (1.0 - warmup.from) * age } else { 1.0 };
         let step = [(1.0, 1.0), (0.5, 0.65), (0.25, 0.3)].into_iter().find(|(_, needs)| able >= *needs)?.0;
-        let trial = if self.gate.trial_until.is_some_and(|until| now < until) { 0.25 } else { 1.0 };
-        Some(f64::min(step, trial) * self.pace)
+        Some(step * self.pace)
     }
 
     /// Guards against hosts slower than listed: one whose good answers come late beside the others' carries
@@ -313,16 +309,19 @@
     1e6
 }
 
-// ---------------------------------------------------------------- the channel
-
-/// What waits in the channel, at the most, whatever its pace: messages leave it one after another,
-/// so an answer to a mark shows that all written before it have left.
+/// What waits in the channel, at the most: an answer to a mark shows that all written before has left.
 struct Queue {
     channel: Channel,
     sent: VecDeque<(MarkId, BTreeMap<ProxyId, f64>)>,
     marks: u16,
 }
 
+/// How much of backlog and message limit may be used: what can wait leaves room to gates and bare
+/// proxies, and these a little to drains.
+const DRAIN: (f64, f64) = (0.95, 0.97);
+const URGENT: (f64, f64) = (0.85, 0.83);
+const ROUTINE: (f64, f64) = (0.5, 0.67);
+
 /// One reply as it is put together, with what it writes to each proxy.
 struct Reply<'a> {
     now: f64,
@@ -334,20 +333,15 @@
 }
 
 impl Reply<'_> {
-    /// Takes the orders in if backlog and message limits allow; `each` lines go to each of `whom`.
-    /// Half of both is kept for what cannot wait.
-    fn take(&mut self, urgent: bool, whom: &[ProxyId], each: f64, orders: &[Order]) -> bool {
+    /// Takes the orders in if backlog and message limit allow; `each` lines go to each of `whom`.
+    fn take(&mut self, may: (f64, f64), whom: &[ProxyId], each: f64, orders: &[Order]) -> bool {
         let channel = self.channel;
-        let (part, spare) = if urgent { (0.85, 3) } else { (0.5, channel.messages / 2) };
-        let most = f64::from(channel.messages.saturating_sub(spare).max(1));
         let span = channel.messages_over + 2.0 * BUCKET;
         let written = |id: &ProxyId| self.proxies[id].messages.last(self.now, span).tries;
         let mut fresh = whom.iter().filter(|id| !self.lines.contains_key(id));
         let cost = each * whom.len() as f64 + (channel.head + 1.0) * fresh.clone().count() as f64;
-        if channel.messages > 0 && fresh.any(|id| written(id) + 1.0 > most) {
-            return false;
-        }
-        if self.waiting + cost > part * channel.backlog {
+        let full = |id: &ProxyId| written(id) + 1.0 > may.1 * f64::from(channel.messages);
+        if channel.messages > 0 && fresh.any(full) || self.waiting + cost > may.0 * channel.backlog {
             return false;
         }
         self.waiting += cost;
@@ -368,7 +362,6 @@
 struct Plan {
     held: BTreeSet<HostId>,
     lines: BTreeMap<Tbl, BTreeMap<HostId, f64>>,
-    /// By proxy, and whether for the confined products.
     binds: BTreeMap<(ProxyId, bool), Tbl>,
     levels: BTreeMap<(Tbl, Products), (f64, Tries)>,
 }
@@ -376,13 +369,13 @@
 pub struct Steward {
     post: Post,
     products: Vec<Product>,
-    /// The SLA time of the products at large.
+    /// Of products that may leave their zone, and of those that may not.
+    masks: [Products; 2],
     sla: f64,
     sidecars: Sidecars,
     warmup: Warmup,
     sums: Sums,
     roster: Roster,
-    /// Calls of the list that failed in a row, and when the next is due.
     failures: i32,
     ask_at: f64,
     queue: Queue,
@@ -393,7 +386,7 @@
     levels: BTreeMap<ZoneId, Level>,
     /// The voided part of tries at the median host.
     usual_voided: f64,
-    /// Good answers a second for each unit of weight: the best seen, forgotten by and by.
+    /// Good answers a second for each unit of weight: the best of late.
     best: f64,
     present: Plan,
     summed_at: f64,
@@ -418,8 +411,7 @@
             self.ask_at = f64::MAX;
             out.push(Order::Watch { on: true });
         }
-        // Guards CPU in large fleets: plans go by the clock, and at once only on news of list or gates.
-        // Slices are carried, not decided yet.
+        // Guards CPU: plans go by the clock, at once only on news of list or gates. No slices decided yet.
         if self.post.slices == 0 && (due || self.urgent && now >= self.planned_at + TICK / 4.0) {
             self.judge(now, &mut out);
             let wanted = self.want(now);
@@ -438,11 +430,15 @@
     ) -> Self {
         let queue = Queue { channel, sent: VecDeque::new(), marks: 0 };
         let sla = products.iter().map(|product| product.sla).sum::<f64>() / products.len().max(1) as f64;
+        let mask = |own: bool| {
+            let places = products.iter().enumerate().filter(|(_, product)| product.own_zone == own);
+            Products(places.fold(0, |mask, (place, _)| mask | (1 << place)))
+        };
         Steward {
-            post, products, sla, sidecars, warmup, sums, queue, roster, failures: 0, ask_at: f64::MIN,
-            spill: BTreeMap::new(), present: Plan::default(), levels: BTreeMap::new(),
-            hosts: BTreeMap::new(), proxies: BTreeMap::new(), usual_voided: 0.0, best: 0.0, draws: 0,
-            summed_at: f64::MIN, planned_at: f64::MIN, urgent: false,
+            masks: [false, true].map(mask), post, products, sla, sidecars, warmup, sums, queue, roster,
+            failures: 0, ask_at: f64::MIN, spill: BTreeMap::new(), present: Plan::default(), best: 0.0,
+            levels: BTreeMap::new(), hosts: BTreeMap::new(), proxies: BTreeMap::new(), usual_voided: 0.0,
+            draws: 0, summed_at: f64::MIN, planned_at: f64::MIN, urgent: false,
         }
     }
 
@@ -547,12 +543,11 @@
         let (window, long, sla) = (self.sums.every + BUCKET, self.sums.every + 2_000.0, self.sla);
         let on = || self.hosts.values().filter(|host| host.standing == Standing::On);
         let tried = on().map(|host| host.met(now, window)).filter(|real| real.tries >= 3.0);
-        let usual = 1.0 - median(tried.map(|real| 1.0 - real.voided_part()).collect());
+        self.usual_voided = 1.0 - median(tried.map(|real| 1.0 - real.voided_part()).collect());
         let means = on().map(|host| host.met(now, long)).filter(|real| real.good() >= 6.0);
         let usual_mean = median(means.map(|real| real.mean()).collect());
         let all: f64 = on().map(|host| host.weight).sum();
         let mut shut: f64 = on().filter(|host| host.gate.shut).map(|host| host.weight).sum();
-        self.usual_voided = usual;
         for (id, host) in self.hosts.iter_mut().filter(|(_, host)| host.standing == Standing::On) {
             if self.post.may_probe && now >= host.probed_at + PROBE_PERIOD - 1.0 {
                 host.probed_at = now;
@@ -565,7 +560,9 @@
                 let lately = host.met(now, if few { 3.0 * long } else { long });
                 host.ease(now, &lately, usual_mean, sla, self.sums.every);
                 // The rest must carry what is gated by sums: a third of the fleet at the most.
-                if fails_txns(&real, usual, sla) && (host.gate.shut || shut + host.weight <= 0.34 * all) {
+                if fails_txns(&real, self.usual_voided, sla)
+                    && (host.gate.shut || shut + host.weight <= 0.34 * all)
+                {
                     shut -= if host.gate.shut { host.weight } else { 0.0 };
                     host.gate.count(now, Some(false), 1 + (self.sums.every / PROBE_PERIOD) as u32, 8_000.0);
                     shut += if host.gate.shut { host.weight } else { 0.0 };
@@ -573,17 +570,11 @@
             }
             let gate = &mut host.gate;
             if gate.shut && gate.passes >= PASSES_TO_LIFT && now >= gate.until {
-                let trial = if gate.relapses > 0 { 2.0 * self.sums.every + 1_500.0 } else { 0.0 };
-                (gate.shut, gate.fails, gate.trial_until) = (false, 0, Some(now + trial));
+                (gate.shut, gate.fails, gate.lifted_at) = (false, 0, Some(now));
             }
         }
     }
 
-    fn products_of(&self, confined: bool) -> Products {
-        let places = self.products.iter().enumerate().filter(|(_, p)| p.own_zone == confined);
-        Products(places.fold(0, |mask, (place, _)| mask | (1 << place)))
-    }
-
     fn asks(&self, now: f64, zone: ZoneId) -> Vec<Ask> {
         let ask = |(place, product): (usize, &Product)| {
             let id = ProductId(place as u16);
@@ -598,7 +589,7 @@
     fn want(&mut self, now: f64) -> Plan {
         let (mut plan, within) = (Plan::default(), self.warmup.within);
         let zones: Vec<ZoneId> = (0..self.post.zones).map(ZoneId).collect();
-        let confined = self.products.iter().any(|product| product.own_zone);
+        let confined = self.masks[1] != Products::ALL;
         let on = self.hosts.iter().filter(|(_, host)| host.standing == Standing::On);
         let able = |(id, host): (&HostId, &'_ Host)| Some((*id, host.part(now, &self.warmup)?));
         let able: Vec<(HostId, f64)> = on.filter_map(able).collect();
@@ -660,7 +651,8 @@
             }
         }
         for (id, proxy) in &self.proxies {
-            for own in [false, true].into_iter().filter(|own| self.products_of(*own) != Products::ALL) {
+            for own in [false, true].into_iter().filter(|own| self.masks[usize::from(*own)] != Products::ALL)
+            {
                 plan.binds.insert((*id, own), (proxy.zone, own, proxy.node));
             }
         }
@@ -720,11 +712,9 @@
     /// The one place that turns what is wanted into orders: what differs from the present goes out, the
     /// urgent first, as far as the channel takes it. What does not fit waits for the next call.
     fn publish(&mut self, now: f64, wanted: Plan, out: &mut Vec<Order>) {
-        let masks = [self.products_of(false), self.products_of(true)];
         let (channel, proxies) = (&self.queue.channel, &self.proxies);
         let waiting = self.queue.sent.iter().flat_map(|(_, lines)| lines.values()).sum();
-        let (lines, orders) = (BTreeMap::new(), Vec::new());
-        let mut reply = Reply { now, channel, proxies, lines, waiting, orders };
+        let mut reply = Reply { now, channel, proxies, lines: BTreeMap::new(), waiting, orders: vec![] };
         let present = &mut self.present;
         let number = |(zone, confined, node): Tbl| {
             TblId(zone.0 + self.post.zones * (2 * (node.max(1) as u16 - 1) + u16::from(confined)))
@@ -741,7 +731,9 @@
             proxies.keys().filter(holds).copied().collect()
         };
         for host in wanted.held.difference(&present.held.clone()).copied() {
-            if reply.take(true, &holders(present, host), 1.0, &[Order::Withdraw { host, out: true }]) {
+            let on = self.hosts.get(&host).is_some_and(|host| host.standing == Standing::On);
+            let may = if on { URGENT } else { DRAIN };
+            if reply.take(may, &holders(present, host), 1.0, &[Order::Withdraw { host, out: true }]) {
                 present.held.insert(host);
             }
         }
@@ -760,17 +752,23 @@
             let share = |tbl: TblId| move |&(host, weight): &_| Order::Share { tbl, host, weight };
             let orders: Vec<Order> = changes.iter().map(share(number(*tbl))).collect();
             let bare = standing.keys().all(|host| present.held.contains(host));
-            if !orders.is_empty() && reply.take(bare, whom, orders.len() as f64, &orders) {
+            let may = if bare { DRAIN } else { ROUTINE };
+            if !orders.is_empty() && reply.take(may, whom, orders.len() as f64, &orders) {
                 standing.extend(changes);
                 standing.retain(|_, weight| *weight > 0.0);
             }
         }
-        // A cold host comes in after the warm ones, lest it be alone.
+        // A host comes back once tables give it its weight, a cold one after the warm, lest it be alone.
         let cold = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.cold_since.is_some());
         let back: Vec<HostId> = present.held.difference(&wanted.held).copied().collect();
         let all_cold = back.iter().all(cold);
         for host in back.into_iter().filter(|id| all_cold || !cold(id)) {
-            if reply.take(true, &holders(present, host), 1.0, &[Order::Withdraw { host, out: false }]) {
+            let ready = users.keys().all(|tbl| {
+                let weight = |plan: &Plan| plan.lines.get(tbl).and_then(|lines| lines.get(&host).copied());
+                weight(present) == weight(&wanted) || weight(&wanted).is_none() && !cold(&host)
+            });
+            let order = [Order::Withdraw { host, out: false }];
+            if ready && reply.take(URGENT, &holders(present, host), 1.0, &order) {
                 present.held.remove(&host);
             }
         }
@@ -778,17 +776,18 @@
             let order = Order::Admit { tbl: number(tbl), products, level, tries };
             let differs = present.levels.get(&(tbl, products)) != Some(&(level, tries));
             let whom = users.get(&tbl).map_or(&[][..], Vec::as_slice);
-            if differs && reply.take(false, whom, 1.0, &[order]) {
+            if differs && reply.take(ROUTINE, whom, 1.0, &[order]) {
                 present.levels.insert((tbl, products), (level, tries));
             }
         }
         for (&(proxy, confined), &tbl) in &wanted.binds {
-            if present.binds.get(&(proxy, confined)) != Some(&tbl) {
-                let lines = present.lines.get(&tbl).map_or(0, BTreeMap::len) + self.products.len();
-                let bind = Order::Bind { proxy, tbl: number(tbl), products: masks[usize::from(confined)] };
-                if reply.take(true, &[proxy], 2.0 * lines as f64 + 1.0, &[bind]) {
-                    present.binds.insert((proxy, confined), tbl);
-                }
+            let bound = present.binds.get(&(proxy, confined));
+            let held = |tbl: &Tbl| present.lines[tbl].keys().all(|host| present.held.contains(host));
+            let may = if bound.is_none_or(held) { URGENT } else { ROUTINE };
+            let lines = present.lines.get(&tbl).map_or(0, BTreeMap::len) + self.products.len();
+            let bind = Order::Bind { proxy, tbl: number(tbl), products: self.masks[usize::from(confined)] };
+            if bound != Some(&tbl) && reply.take(may, &[proxy], 2.0 * lines as f64 + 1.0, &[bind]) {
+                present.binds.insert((proxy, confined), tbl);
             }
         }
         let Reply { lines, orders, .. } = reply;
