Windows follow what sums cover; even out seats; other stewards' zones are not idle

(1) 100 lines of sums a second for 440 pairs of proxies and hosts: a sum covers 5 to 10 s where windows were 1.5 s, so levels counted a third of what was settled and gates by sums never had tries enough. Windows, steps and gates now follow the time that sums cover, from the pairs heard and the lines taken in; levels rise each period, fall once a cover. (3) Tables carried 0.5 to 2.5 of the fair load; proxies now move, in one pass, where that evens out a quarter of it. (4) Squeezed connections void tries beside quick good answers; levels took that for load and let in a fifth. Voided tries press levels only where good answers take half the SLA time.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ProxyId(pub u16);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneId(pub u16);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -63,6 +63,10 @@
     pub seed: u64,
     pub zone: ZoneId,
     pub zones: u16,
+    /// How many stewards there are.
+    pub stewards: u32,
+    /// Proxies join a steward of their own zone, where there is one.
+    pub by_zone: bool,
     pub slices: u32,
     pub may_probe: bool,
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,7 +1,6 @@
 //! amberarch's decisions. How to call it: make one [`Steward`] for each instance from its start
 //! facts, then hand all events of one moment to `decide` and carry out the orders that come back,
 //! in their order. The interface (ids, facts, events, orders) is the crate `amberarch-core`.
-//!
 //! The design: every listed host is probed each period; a run of fails gates it and withdraws it;
 //! a run of passes lifts the gate; tables are few and shared, at listed weight. What departs from
 //! that, and when, is told in docs/design.md and beside the code that does it.
@@ -33,7 +32,6 @@
     fn good(&self) -> f64 {
         self.tries - self.voided
     }
-    /// Good answers a second, by the time that the sums cover.
     fn rate(&self) -> f64 {
         1_000.0 * self.good() / self.over.max(1_000.0)
     }
@@ -45,6 +43,7 @@
 /// Finer than any sum comes, and enough of them for the longest look back.
 const BUCKET: f64 = 500.0;
 const BUCKETS: usize = 24;
+const LOOK_BACK: f64 = BUCKET * BUCKETS as f64;
 
 #[derive(Default)]
 struct Ring([(i64, Tally); BUCKETS]);
@@ -68,16 +67,13 @@
     of.get(of.len() / 2).copied().unwrap_or(0.0)
 }
 
-// ---------------------------------------------------------------- the gate
-
 /// The guide's examples: three failures in a row gate, two passes in a row lift.
 const FAILS_TO_GATE: u32 = 3;
 const PASSES_TO_LIFT: u32 = 2;
 const PROBE_PERIOD: f64 = 1_000.0;
 
-/// A light probe says that a process runs, no more: good real answers, late ones too, outrank one
-/// that timed out (a busy host), and failing real txns one that passed (it errs or hangs beside it).
-/// None counts for neither run.
+/// A light probe says that a process runs, no more: good real answers, late ones too, outrank one that
+/// timed out (a busy host), failing txns one that passed (it errs or hangs). None counts for neither run.
 fn passes(outcome: Outcome, real: &Tally) -> Option<bool> {
     match outcome {
         Outcome::Answered if real.tries >= 4.0 && real.voided_part() > 0.5 => None,
@@ -102,25 +98,17 @@
     passes: u32,
     shut: bool,
     until: f64,
-    relapses: i32,
-    lifted_at: Option<f64>,
 }
 
 impl Gate {
-    /// Guards against a host that passes probes but fails txns by a least time, and against flapping: each
-    /// relapse doubles the wait. It holds back by as much a host that is well.
+    /// It stays shut a least time, against a host that passes probes but fails txns.
     fn count(&mut self, now: f64, pass: Option<bool>, weighing: u32, least: f64) {
-        match pass {
-            None => {}
-            Some(true) => (self.fails, self.passes) = (0, self.passes + 1),
-            Some(false) => (self.fails, self.passes) = (self.fails + weighing, 0),
+        if let Some(pass) = pass {
+            let (fails, passes) = (self.fails + weighing, self.passes + 1);
+            (self.fails, self.passes) = if pass { (0, passes) } else { (fails, 0) };
         }
         if self.fails >= FAILS_TO_GATE && !self.shut {
-            // A gate that shuts again this soon after a lift is a flapper's.
-            let soon = self.lifted_at.is_some_and(|at| now < at + 15_000.0);
-            self.relapses = if soon { self.relapses + 1 } else { 0 };
-            let wait = 4_000.0 * (2f64.powi(self.relapses.min(4)) - 1.0);
-            (self.shut, self.until) = (true, now + f64::max(least, wait));
+            (self.shut, self.until) = (true, now + least);
         }
     }
 }
@@ -135,6 +123,7 @@
     gate: Gate,
     met: BTreeMap<ZoneId, Ring>,
     summed: bool,
+    busy: Option<f64>,
     probed_at: f64,
     /// The part of its listed weight that its speed bears out, and when that was last changed.
     pace: f64,
@@ -159,18 +148,17 @@
     /// less, in few sticky steps, each seen in later sums only. One slow for other reasons loses traffic too.
     fn ease(&mut self, now: f64, real: &Tally, usual_mean: f64, sla: f64, every: f64) {
         let mean = real.mean();
-        if real.good() < 6.0 || now < self.paced_at + 2.0 * every + 2_000.0 {
-            return;
-        }
-        if mean > 0.5 * sla && mean > 1.6 * usual_mean && self.pace > 0.15 {
+        let due = real.good() >= 6.0 && now >= self.paced_at + 2.0 * every + 2_000.0;
+        if due && mean > 0.5 * sla && mean > 1.6 * usual_mean && self.pace > 0.15 {
             let step = (1.6 * usual_mean / mean).clamp(0.5, 0.75);
             (self.pace, self.paced_at) = (self.pace * step, now);
-        } else if self.pace < 1.0 && mean < 0.8 * usual_mean && now > self.paced_at + 10_000.0 {
+        } else if due && self.pace < 1.0 && mean < 0.8 * usual_mean && now > self.paced_at + 10_000.0 {
             (self.pace, self.paced_at) = (f64::min(1.0, self.pace / 0.6), now);
         }
     }
 }
 
+#[derive(Default)]
 struct Proxy {
     zone: ZoneId,
     /// Its table in the tree of its zone's; zero: none yet.
@@ -182,8 +170,8 @@
 
 impl Proxy {
     /// Txns a second of one of so many products: as summed of late, until then as told at joining.
-    fn rate(&self, now: f64, product: ProductId, products: usize) -> f64 {
-        let sum = self.came.get(&product).map(|ring| ring.last(now, 5_000.0)).unwrap_or_default();
+    fn rate(&self, now: f64, span: f64, product: ProductId, products: usize) -> f64 {
+        let sum = self.came.get(&product).map(|ring| ring.last(now, span)).unwrap_or_default();
         let told = if self.came.is_empty() { self.joined_rate / products as f64 } else { 0.0 };
         told + 1_000.0 * sum.tries / sum.over.max(1_000.0)
     }
@@ -227,8 +215,8 @@
 }
 
 /// Seats a zone's proxies at its tables, by the open weight in the smallest ones. Each goes to the
-/// smallest of which it asks half the fair share at most, and there to the least loaded; it stays
-/// until its rate fits no more or the table carries too much: by drift, gates or hosts come cold.
+/// smallest of which it asks half the fair share at most, and there to the least loaded. It stays, as a
+/// move costs handshakes, until its rate fits no more or it evens out by a quarter of the fair load.
 fn seat(proxies: &mut BTreeMap<ProxyId, Proxy>, zone: ZoneId, asks: &[Ask], open: &[f64]) {
     let most = open.len() as u32;
     let groups = |node: u32| (node - breadth(node)..most).step_by(breadth(node) as usize);
@@ -247,50 +235,53 @@
     let part = |at: usize| asks.iter().map(|ask| ask.rates[at]).sum::<f64>().max(1e-3 * all) / all;
     let mut seats: Vec<(f64, &mut Proxy)> = here.map(|(at, (_, proxy))| (part(at), proxy)).collect();
     seats.sort_by(|a, b| b.0.total_cmp(&a.0));
-    let mut moves = Vec::new();
+    let seated = seats.iter().filter(|(_, proxy)| proxy.node > 0);
+    seated.for_each(|(part, proxy)| sit(&mut load, proxy.node, *part));
     for (part, proxy) in seats {
-        let wide = breadth(proxy.node.max(1));
-        let asks = part * f64::from(wide);
-        let fits = proxy.node > 0 && wide <= most && asks <= 1.0 && (wide == most || asks > 0.125);
-        if fits && filled(&load, proxy.node, part) <= 1.4 {
-            sit(&mut load, proxy.node, part);
-        } else {
-            moves.push((part, proxy));
-        }
-    }
-    for (part, proxy) in moves {
+        let asks = part * f64::from(breadth(proxy.node.max(1)));
+        let narrow = breadth(proxy.node.max(1)) < most && asks <= 0.125;
+        let fits = (1..2 * most).contains(&proxy.node) && asks <= 1.0 && !narrow;
         let mut wides = (0..=most.ilog2()).map(|bits| most >> bits);
-        let wide = wides.find(|wide| part * f64::from(*wide) <= 0.5).unwrap_or(1);
-        let filled = |node: &u32| filled(&load, *node, part);
-        proxy.node = (wide..2 * wide).min_by(|a, b| filled(a).total_cmp(&filled(b))).unwrap_or(1);
-        sit(&mut load, proxy.node, part);
+        let free = wides.find(|wide| part * f64::from(*wide) <= 0.5).unwrap_or(1);
+        let wide = if fits { breadth(proxy.node) } else { free };
+        let full = |node: &u32| filled(&load, *node, part);
+        let to = (wide..2 * wide).min_by(|a, b| full(a).total_cmp(&full(b))).unwrap_or(1);
+        if !fits || filled(&load, proxy.node, 0.0) > full(&to) + 0.25 {
+            if proxy.node > 0 {
+                sit(&mut load, proxy.node, -part);
+            }
+            proxy.node = to;
+            sit(&mut load, to, part);
+        }
     }
 }
 
 /// The part of a zone's work that is let in.
 struct Level {
     share: f64,
-    judged_at: f64,
+    judge_at: f64,
     pressed: bool,
 }
 
 impl Level {
     /// More asked than settled shows as slow good answers and as voided tries at all hosts alike.
     /// Then what is let in falls toward what gets settled, else it rises by the room that time leaves.
-    fn judge(&mut self, now: f64, real: &Tally, settled: f64, asks: &[Ask], every: f64) {
-        if now < self.judged_at + every || real.tries < 5.0 {
+    fn judge(&mut self, now: f64, real: &Tally, settled: f64, asks: &[Ask], (every, cover): (f64, f64)) {
+        if now < self.judge_at || real.tries < 5.0 {
             return;
         }
-        self.judged_at = now;
         let came = asks.iter().map(|ask| ask.total).sum::<f64>().max(1e-9);
         let sla = asks.iter().map(|ask| ask.work).sum::<f64>() / came;
-        let slow = real.mean() / sla.max(1e-9) + real.voided_part();
+        // Hosts whose good answers are quick have room: what is voided beside them is no load's doing.
+        let mean = real.mean() / sla.max(1e-9);
+        let slow = mean + if mean > 0.5 || real.good() < 1.0 { real.voided_part() } else { 0.0 };
         self.pressed = slow > 0.65;
         if self.pressed {
             self.share = self.share.min(f64::max(settled / came, 0.75 * self.share)).max(0.3);
         } else {
             self.share = f64::min(1.0, self.share * (1.45 - slow).max(1.0));
         }
+        self.judge_at = now + if self.pressed { cover } else { every };
     }
 }
 
@@ -309,15 +300,7 @@
     1e6
 }
 
-/// What waits in the channel, at the most: an answer to a mark shows that all written before has left.
-struct Queue {
-    channel: Channel,
-    sent: VecDeque<(MarkId, BTreeMap<ProxyId, f64>)>,
-    marks: u16,
-}
-
-/// How much of backlog and message limit may be used: what can wait leaves room to gates and bare
-/// proxies, and these a little to drains.
+/// How much of backlog and message limit may be used by drains, by gates and bare proxies, by the rest.
 const DRAIN: (f64, f64) = (0.95, 0.97);
 const URGENT: (f64, f64) = (0.85, 0.83);
 const ROUTINE: (f64, f64) = (0.5, 0.67);
@@ -378,7 +361,10 @@
     roster: Roster,
     failures: i32,
     ask_at: f64,
-    queue: Queue,
+    channel: Channel,
+    /// What waits in the channel, at the most: an answer to a mark shows that all before it has left.
+    sent: VecDeque<(MarkId, BTreeMap<ProxyId, f64>)>,
+    marks: u16,
     hosts: BTreeMap<HostId, Host>,
     proxies: BTreeMap<ProxyId, Proxy>,
     /// The part of its weight that a zone's host has in another zone's table, by (table, hosts).
@@ -390,9 +376,11 @@
     best: f64,
     present: Plan,
     summed_at: f64,
+    /// The time that a sum covers of late.
+    cover: f64,
     planned_at: f64,
     urgent: bool,
-    draws: u64,
+    fresh: bool,
 }
 
 const TICK: f64 = PROBE_PERIOD / 5.0;
@@ -401,10 +389,10 @@
     fn decide(&mut self, now: f64, events: &[Event]) -> Vec<Order> {
         let mut out = Vec::new();
         events.iter().for_each(|event| self.hear(now, event));
-        let due = self.draws == 0 || events.iter().any(|event| matches!(event, Event::Due { .. }));
+        let due = self.fresh || events.iter().any(|event| matches!(event, Event::Due { .. }));
         if due {
             out.push(Order::Timer { after: TICK, timer: TimerId(0) });
-            self.draws += 1;
+            self.fresh = false;
         }
         // Where the list must be asked it is watched; after a failure asked again, ever more rarely.
         if self.roster.asked && now >= self.ask_at {
@@ -428,46 +416,39 @@
         post: Post, products: Vec<Product>, channel: Channel, sidecars: Sidecars, warmup: Warmup,
         roster: Roster, sums: Sums,
     ) -> Self {
-        let queue = Queue { channel, sent: VecDeque::new(), marks: 0 };
         let sla = products.iter().map(|product| product.sla).sum::<f64>() / products.len().max(1) as f64;
         let mask = |own: bool| {
             let places = products.iter().enumerate().filter(|(_, product)| product.own_zone == own);
             Products(places.fold(0, |mask, (place, _)| mask | (1 << place)))
         };
         Steward {
-            masks: [false, true].map(mask), post, products, sla, sidecars, warmup, sums, queue, roster,
-            failures: 0, ask_at: f64::MIN, spill: BTreeMap::new(), present: Plan::default(), best: 0.0,
+            masks: [false, true].map(mask), post, products, sla, sidecars, warmup, sums, channel, roster,
+            sent: VecDeque::new(), marks: 0, cover: 0.0, best: 0.0, failures: 0, ask_at: f64::MIN,
+            spill: BTreeMap::new(), present: Plan::default(), fresh: true, urgent: false,
             levels: BTreeMap::new(), hosts: BTreeMap::new(), proxies: BTreeMap::new(), usual_voided: 0.0,
-            draws: 0, summed_at: f64::MIN, planned_at: f64::MIN, urgent: false,
+            summed_at: f64::MIN, planned_at: f64::MIN,
         }
     }
 
-    /// Between 0 and 1, from the instance's seed and a counter.
-    fn chance(&mut self) -> f64 {
-        self.draws += 1;
-        let mut hasher = DefaultHasher::new();
-        (self.post.seed, self.draws).hash(&mut hasher);
-        hasher.finish() as f64 / u64::MAX as f64
-    }
-
     fn hear(&mut self, now: f64, event: &Event) {
         match event {
             Event::List { news: ListNews::Failed, .. } => {
-                let wait = 600.0 * 2f64.powi(self.failures.min(3)) * (0.75 + 0.5 * self.chance());
+                let mut hasher = DefaultHasher::new();
+                (self.post.seed, self.failures).hash(&mut hasher);
+                let chance = hasher.finish() as f64 / u64::MAX as f64;
+                let wait = 600.0 * 2f64.powi(self.failures.min(3)) * (0.75 + 0.5 * chance);
                 (self.failures, self.ask_at) = (self.failures + 1, now + wait);
             }
             Event::List { news, entries } => self.learn(now, *news, entries),
             Event::Joined { proxy, zone, txns_per_s, .. } => {
                 self.left(*proxy);
-                let (came, messages) = (BTreeMap::new(), Ring::default());
-                let joined = Proxy { zone: *zone, node: 0, joined_rate: *txns_per_s, came, messages };
+                let joined = Proxy { zone: *zone, joined_rate: *txns_per_s, ..Proxy::default() };
                 self.proxies.insert(*proxy, joined);
             }
             Event::Left { proxy } => self.left(*proxy),
             Event::Met { host, zone, tries, voided, mean, over, .. } => {
                 if let Some(host) = self.hosts.get_mut(host) {
-                    let tally = Tally::new(*tries, *voided, *mean, *over);
-                    host.met.entry(*zone).or_default().add(now, tally);
+                    host.met.entry(*zone).or_default().add(now, Tally::new(*tries, *voided, *mean, *over));
                     (host.summed, self.summed_at) = (true, now);
                 }
             }
@@ -477,11 +458,12 @@
                     proxy.came.entry(*product).or_default().add(now, tally);
                 }
             }
-            Event::Probed { host, outcome, .. } => {
+            Event::Probed { host, outcome, report, .. } => {
                 // Where sums are late altogether, the last that came still tell a busy host.
-                let span = self.sums.every + BUCKET + now - self.summed_at;
+                let span = self.cover + BUCKET + now - self.summed_at;
                 if let Some(host) = self.hosts.get_mut(host) {
                     let pass = passes(*outcome, &host.met(now, span));
+                    host.busy = report.busy.or(host.busy);
                     let shut = host.gate.shut;
                     host.gate.count(now, pass, 1, 0.0);
                     self.urgent |= host.gate.shut && pass != Some(shut);
@@ -492,9 +474,9 @@
                 }
             }
             Event::Applied { proxy, mark, .. } => {
-                if let Some(place) = self.queue.sent.iter().position(|(sent, _)| sent == mark) {
-                    self.queue.sent.drain(..place);
-                    self.queue.sent[0].1.remove(proxy);
+                if let Some(place) = self.sent.iter().position(|(sent, _)| sent == mark) {
+                    self.sent.drain(..place);
+                    self.sent[0].1.remove(proxy);
                 }
             }
             _ => {}
@@ -504,19 +486,17 @@
     fn left(&mut self, proxy: ProxyId) {
         self.proxies.remove(&proxy);
         self.present.binds.retain(|(bound, _), _| *bound != proxy);
-        self.queue.sent.iter_mut().for_each(|(_, lines)| lines.retain(|whom, _| *whom != proxy));
+        self.sent.iter_mut().for_each(|(_, lines)| lines.retain(|whom, _| *whom != proxy));
     }
 
     fn learn(&mut self, now: f64, news: ListNews, entries: &[Listed]) {
         (self.failures, self.urgent) = (0, true);
-        if news != ListNews::Changes {
-            let listed: BTreeSet<HostId> = entries.iter().map(|entry| entry.host).collect();
-            let missing = self.hosts.iter_mut().filter(|(id, _)| !listed.contains(id));
-            missing.for_each(|(_, host)| host.standing = Standing::Gone);
-        }
         // Places are dealt by weight, the lowest free one first, so that tables of one size carry alike.
         let listed = self.hosts.values().filter(|host| host.standing != Standing::Gone);
         let mut taken: BTreeSet<(ZoneId, u32)> = listed.map(|host| (host.zone, host.place)).collect();
+        if news != ListNews::Changes {
+            self.hosts.values_mut().for_each(|host| host.standing = Standing::Gone);
+        }
         let mut entries: Vec<&Listed> = entries.iter().collect();
         entries.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(a.kind.cmp(&b.kind)));
         for entry in entries {
@@ -525,8 +505,8 @@
             let free = (0..).find(|place| !taken.contains(&(zone, *place))).unwrap_or(0);
             #[rustfmt::skip]
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host {
-                zone, place: free, weight, standing, cold_since: None, gate: Gate::default(),
-                met: BTreeMap::new(), summed: false, probed_at: f64::MIN, pace: 1.0, paced_at: f64::MIN,
+                zone, place: free, weight, standing, cold_since: None, gate: Gate::default(), pace: 1.0,
+                met: BTreeMap::new(), summed: false, busy: None, probed_at: f64::MIN, paced_at: f64::MIN,
             });
             (host.zone, host.standing, host.weight) = (zone, standing, weight);
             taken.insert((zone, host.place));
@@ -540,14 +520,19 @@
     }
 
     fn judge(&mut self, now: f64, out: &mut Vec<Order>) {
-        let (window, long, sla) = (self.sums.every + BUCKET, self.sums.every + 2_000.0, self.sla);
+        // Where the lines of a period are more than are taken in, each waits its turn and covers longer.
+        let pairs = self.hosts.values().map(|host| host.met.len()).sum::<usize>()
+            + self.proxies.values().map(|proxy| proxy.came.len()).sum::<usize>();
+        let turn = 1_000.0 * pairs as f64 / self.sums.lines_per_s.max(1.0);
+        self.cover = turn.clamp(self.sums.every, LOOK_BACK - 2_000.0);
+        let (window, long, sla) = (self.cover + BUCKET, self.cover + 2_000.0, self.sla);
         let on = || self.hosts.values().filter(|host| host.standing == Standing::On);
         let tried = on().map(|host| host.met(now, window)).filter(|real| real.tries >= 3.0);
         self.usual_voided = 1.0 - median(tried.map(|real| 1.0 - real.voided_part()).collect());
         let means = on().map(|host| host.met(now, long)).filter(|real| real.good() >= 6.0);
         let usual_mean = median(means.map(|real| real.mean()).collect());
-        let all: f64 = on().map(|host| host.weight).sum();
-        let mut shut: f64 = on().filter(|host| host.gate.shut).map(|host| host.weight).sum();
+        // The rest must carry what is gated by sums: a third of the fleet at the most.
+        let mut room: f64 = on().map(|host| host.weight * if host.gate.shut { -0.66 } else { 0.34 }).sum();
         for (id, host) in self.hosts.iter_mut().filter(|(_, host)| host.standing == Standing::On) {
             if self.post.may_probe && now >= host.probed_at + PROBE_PERIOD - 1.0 {
                 host.probed_at = now;
@@ -555,31 +540,25 @@
             }
             if std::mem::take(&mut host.summed) {
                 let real = host.met(now, window);
-                // The slowest answer too little for a short window, once their last step is well past.
-                let few = host.met(now, long).good() < 6.0 && now > host.paced_at + 3.0 * long;
-                let lately = host.met(now, if few { 3.0 * long } else { long });
-                host.ease(now, &lately, usual_mean, sla, self.sums.every);
-                // The rest must carry what is gated by sums: a third of the fleet at the most.
-                if fails_txns(&real, self.usual_voided, sla)
-                    && (host.gate.shut || shut + host.weight <= 0.34 * all)
-                {
-                    shut -= if host.gate.shut { host.weight } else { 0.0 };
-                    host.gate.count(now, Some(false), 1 + (self.sums.every / PROBE_PERIOD) as u32, 8_000.0);
-                    shut += if host.gate.shut { host.weight } else { 0.0 };
+                host.ease(now, &host.met(now, long), usual_mean, sla, self.cover);
+                if fails_txns(&real, self.usual_voided, sla) && (host.gate.shut || host.weight <= room) {
+                    room -= if host.gate.shut { 0.0 } else { host.weight };
+                    host.gate.count(now, Some(false), 1 + (self.cover / PROBE_PERIOD) as u32, 8_000.0);
                 }
             }
             let gate = &mut host.gate;
             if gate.shut && gate.passes >= PASSES_TO_LIFT && now >= gate.until {
-                (gate.shut, gate.fails, gate.lifted_at) = (false, 0, Some(now));
+                (gate.shut, gate.fails) = (false, 0);
             }
         }
     }
 
     fn asks(&self, now: f64, zone: ZoneId) -> Vec<Ask> {
+        let (span, count) = (f64::max(5_000.0, self.cover + BUCKET), self.products.len());
         let ask = |(place, product): (usize, &Product)| {
             let id = ProductId(place as u16);
             let there = self.proxies.values().filter(|proxy| proxy.zone == zone);
-            let rates: Vec<f64> = there.map(|proxy| proxy.rate(now, id, self.products.len())).collect();
+            let rates: Vec<f64> = there.map(|proxy| proxy.rate(now, span, id, count)).collect();
             let total = rates.iter().sum::<f64>();
             Ask { id, product: product.clone(), rates, total, work: total * product.sla }
         };
@@ -614,19 +593,29 @@
             }
         }
         let asks: Vec<Vec<Ask>> = zones.iter().map(|zone| self.asks(now, *zone)).collect();
-        let weigh = |zone: &ZoneId| {
-            let open = able().filter(|(_, host, _)| host.zone == *zone && !host.gate.shut);
-            open.map(|(_, host, part)| host.weight * part).sum()
-        };
+        let (held, shut) = (&plan.held, |host: &Host| host.gate.shut);
+        let open = |zone| able().filter(move |(id, h, _)| h.zone == zone && !shut(h) && !held.contains(id));
+        let weigh = |zone: &ZoneId| open(*zone).map(|(_, host, part)| host.weight * part).sum();
         let weights: Vec<f64> = zones.iter().map(weigh).collect();
-        let demands: Vec<f64> = asks.iter().map(|asks| asks.iter().map(|ask| ask.total).sum()).collect();
+        let mut demands: Vec<f64> = asks.iter().map(|asks| asks.iter().map(|ask| ask.total).sum()).collect();
         let free = asks.iter().flatten().filter(|ask| !ask.product.own_zone);
         let movable = free.map(|ask| ask.total).sum::<f64>() / demands.iter().sum::<f64>().max(1e-9);
+        if self.post.by_zone && self.post.stewards > 1 {
+            // Other zones' proxies are other stewards': their hosts are taken to be as full as the home
+            // zone's, or as they say that they are busy beside it, at the median: reports may lie.
+            let busy = |zone: &ZoneId| median(open(*zone).filter_map(|(_, host, _)| host.busy).collect());
+            let (home, busy) = (self.post.zone.0 as usize, zones.iter().map(busy).collect::<Vec<f64>>());
+            let fair = demands[home] / weights[home].max(1e-9);
+            for (place, demand) in demands.iter_mut().enumerate() {
+                let beside = if busy[home] > 0.0 { busy[place] / busy[home] } else { 1.0 };
+                *demand = demand.max(fair * beside * weights[place]);
+            }
+        }
         spill(&mut self.spill, &weights, &demands, movable);
         let rings = self.hosts.values().flat_map(|host| host.met.values());
-        let good: f64 = rings.map(|ring| ring.last(now, self.sums.every + BUCKET).rate()).sum();
+        let good: f64 = rings.map(|ring| ring.last(now, self.cover + BUCKET).rate()).sum();
         self.best = f64::max(self.best * 0.999, good / weights.iter().sum::<f64>().max(1e-9));
-        let mut usable: BTreeMap<(ZoneId, bool), f64> = BTreeMap::new();
+        let mut usable = BTreeMap::new();
         let mut lines: BTreeMap<_, Vec<(u32, HostId, f64)>> = BTreeMap::new();
         for (zone, own) in zones.iter().flat_map(|zone| [(*zone, false), (*zone, true)]) {
             // The smallest tables have the size of those that proxies start with, or up to twice that.
@@ -645,7 +634,7 @@
                     open[host.place as usize % most] += if held { 0.0 } else { weight };
                 }
             }
-            usable.insert((zone, own), open.iter().sum());
+            usable.insert((zone, own), open.iter().sum::<f64>());
             if !own {
                 seat(&mut self.proxies, zone, &asks[zone.0 as usize], &open);
             }
@@ -661,7 +650,7 @@
             let named = there.filter(|line| line.0 % breadth(node) == node - breadth(node));
             plan.lines.insert((zone, own, node), named.map(|(_, id, weight)| (*id, *weight)).collect());
         }
-        // Guards a zone that comes back all cold: its budget, of the best rate seen, bounds levels.
+        // Guards a zone that comes back all cold: its budget, of the best rate of late, bounds levels.
         let cold: BTreeSet<ZoneId> = able().map(|able| able.1).filter(|h| !warm(h)).map(|h| h.zone).collect();
         for (zone, asks) in zones.iter().zip(asks) {
             let load = |own: bool| -> f64 {
@@ -677,17 +666,15 @@
 
     /// Levels, zone by zone, from the zone's own figures: what its proxies met and what came.
     fn admit(&mut self, now: f64, zone: ZoneId, mut asks: Vec<Ask>, cold: Option<f64>, plan: &mut Plan) {
-        let window = self.sums.every + BUCKET;
+        let window = self.cover + BUCKET;
         let hosts = self.hosts.values().filter(|host| !host.gate.shut);
         let met = hosts.filter_map(|host| host.met.get(&zone)).map(|ring| ring.last(now, window));
         let met: Vec<Tally> = met.filter(|met| !fails_txns(met, self.usual_voided, self.sla)).collect();
         let settled = met.iter().map(Tally::rate).sum();
         let real = met.into_iter().fold(Tally::default(), Tally::plus);
-        let fresh = Level { share: 1.0, judged_at: f64::MIN, pressed: false };
-        let level = self.levels.entry(zone).or_insert(fresh);
-        if self.sidecars.levels != LevelKind::Off {
-            level.judge(now, &real, settled, &asks, self.sums.every);
-        }
+        let judge_at = if self.sidecars.levels == LevelKind::Off { f64::MAX } else { f64::MIN };
+        let level = self.levels.entry(zone).or_insert(Level { share: 1.0, judge_at, pressed: false });
+        level.judge(now, &real, settled, &asks, (self.sums.every, self.cover));
         // Sheds the least revenue per work first, and leaves of each product a tenth, but by a cold budget.
         let pays = |ask: &Ask| ask.product.revenue / ask.product.sla;
         asks.sort_by(|a, b| pays(a).total_cmp(&pays(b)));
@@ -700,9 +687,10 @@
             shed -= cut;
             let share = 1.0 - cut / ask.work.max(1e-9);
             let level = match self.sidecars.levels {
+                LevelKind::Off => 1.0,
                 LevelKind::Rate if share > 0.98 => 1e6,
                 LevelKind::Rate => even_rate(ask.rates, share),
-                _ => (share * 20.0).round() / 20.0,
+                LevelKind::Share => (share * 20.0).round() / 20.0,
             };
             let tbls = plan.lines.keys().filter(|tbl| (tbl.0, tbl.1) == (zone, ask.product.own_zone));
             plan.levels.extend(tbls.map(|tbl| ((*tbl, Products::one(ask.id)), (level, tries))));
@@ -712,8 +700,8 @@
     /// The one place that turns what is wanted into orders: what differs from the present goes out, the
     /// urgent first, as far as the channel takes it. What does not fit waits for the next call.
     fn publish(&mut self, now: f64, wanted: Plan, out: &mut Vec<Order>) {
-        let (channel, proxies) = (&self.queue.channel, &self.proxies);
-        let waiting = self.queue.sent.iter().flat_map(|(_, lines)| lines.values()).sum();
+        let (channel, proxies) = (&self.channel, &self.proxies);
+        let waiting = self.sent.iter().flat_map(|(_, lines)| lines.values()).sum();
         let mut reply = Reply { now, channel, proxies, lines: BTreeMap::new(), waiting, orders: vec![] };
         let present = &mut self.present;
         let number = |(zone, confined, node): Tbl| {
@@ -740,8 +728,9 @@
         for (tbl, lines) in &wanted.lines {
             let whom = users.get(tbl).map_or(&[][..], Vec::as_slice);
             let standing = present.lines.entry(*tbl).or_default();
-            // What goes is removed once all that comes back serves, or the rest would get it all.
-            let serves = present.held.iter().all(|id| wanted.held.contains(id) || !lines.contains_key(id));
+            // What goes is removed once all that comes back serves, or the rest would get it all, or none.
+            let back = |id: &HostId| present.held.contains(id) && !wanted.held.contains(id);
+            let serves = !lines.keys().any(back) && !lines.keys().all(|id| present.held.contains(id));
             let gone = standing.keys().filter(|id| serves && !lines.contains_key(id)).map(|id| (*id, 0.0));
             let news = lines.iter().map(|(host, weight)| (*host, *weight)).filter(|(host, weight)| {
                 // The weight of a host that is shut out can wait until it comes back.
@@ -752,7 +741,12 @@
             let share = |tbl: TblId| move |&(host, weight): &_| Order::Share { tbl, host, weight };
             let orders: Vec<Order> = changes.iter().map(share(number(*tbl))).collect();
             let bare = standing.keys().all(|host| present.held.contains(host));
-            let may = if bare { DRAIN } else { ROUTINE };
+            let returns = changes.iter().any(|(host, _)| back(host));
+            let may = match (bare, returns) {
+                (true, _) => DRAIN,
+                (_, true) => URGENT,
+                _ => ROUTINE,
+            };
             if !orders.is_empty() && reply.take(may, whom, orders.len() as f64, &orders) {
                 standing.extend(changes);
                 standing.retain(|_, weight| *weight > 0.0);
@@ -784,9 +778,11 @@
             let bound = present.binds.get(&(proxy, confined));
             let held = |tbl: &Tbl| present.lines[tbl].keys().all(|host| present.held.contains(host));
             let may = if bound.is_none_or(held) { URGENT } else { ROUTINE };
+            // Nobody is moved to a table before something in it serves.
+            let serves = !held(&tbl) || bound.is_some_and(held);
             let lines = present.lines.get(&tbl).map_or(0, BTreeMap::len) + self.products.len();
             let bind = Order::Bind { proxy, tbl: number(tbl), products: self.masks[usize::from(confined)] };
-            if bound != Some(&tbl) && reply.take(may, &[proxy], 2.0 * lines as f64 + 1.0, &[bind]) {
+            if bound != Some(&tbl) && serves && reply.take(may, &[proxy], 2.0 * lines as f64 + 1.0, &[bind]) {
                 present.binds.insert((proxy, confined), tbl);
             }
         }
@@ -798,9 +794,9 @@
         for (_, proxy) in self.proxies.iter_mut().filter(|(id, _)| lines.contains_key(id)) {
             proxy.messages.add(now, Tally::new(1, 0, 0.0, 0.0));
         }
-        let mark = MarkId(self.queue.marks);
-        self.queue.marks = self.queue.marks.wrapping_add(1);
-        self.queue.sent.push_back((mark, lines));
+        let mark = MarkId(self.marks);
+        self.marks = self.marks.wrapping_add(1);
+        self.sent.push_back((mark, lines));
         out.push(Order::Mark { mark, everyone: false });
     }
 }
--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -78,6 +78,8 @@
         seed,
         zone: ZoneId(s.number("az")?),
         zones: s.text("dcs")?.split(',').count() as u16,
+        stewards: s.count("balancers")?,
+        by_zone: s.flag("familyInfo.zonal")?,
         slices: s.count("familyInfo.shards")?,
         may_probe: s.flag("policyLimits.mayProbe")?,
     };
