Erring probes gate a third of the fleet at most; answers outrank them

Now real answers, four tries or more with under 0.3 voided, outrank a probe that errs beside them, and erring probes and sums together gate a third of the fleet's weight at the most. Meant for any trouble of the probes' own path; it hurts where a third of the hosts truly err at once, whose lines then stay. Hosts that are unreachable or silent are gated as before.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -43,7 +43,6 @@
 /// Finer than any sum comes, and enough of them for the longest look back.
 const BUCKET: f64 = 500.0;
 const BUCKETS: usize = 24;
-const LOOK_BACK: f64 = BUCKET * BUCKETS as f64;
 
 #[derive(Default)]
 struct Ring([(i64, Tally); BUCKETS]);
@@ -73,12 +72,13 @@
 const PROBE_PERIOD: f64 = 1_000.0;
 
 /// A light probe says that a process runs, no more: good real answers, late ones too, outrank one that
-/// timed out (a busy host), failing txns one that passed (it errs or hangs). None counts for neither run.
+/// timed out (a busy host) or erred beside them, failing txns one that passed. None counts for neither run.
 fn passes(outcome: Outcome, real: &Tally) -> Option<bool> {
     match outcome {
         Outcome::Answered if real.tries >= 4.0 && real.voided_part() > 0.5 => None,
         Outcome::Answered => Some(true),
         Outcome::TimedOut if real.good() >= 1.0 => None,
+        Outcome::Errored if real.tries >= 4.0 && real.voided_part() < 0.3 => None,
         Outcome::Errored | Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset => Some(false),
         Outcome::Full | Outcome::Unknown => None,
     }
@@ -204,8 +204,7 @@
     1 << node.ilog2()
 }
 
-/// What a zone asks of one product: a rate at each proxy, their sum, and the work of that; the SLA
-/// time stands in for the work of one txn, which is not told.
+/// What a zone asks of one product, by proxy and in all; the SLA time stands in for a txn's work.
 struct Ask {
     id: ProductId,
     product: Product,
@@ -256,7 +255,6 @@
     }
 }
 
-/// The part of a zone's work that is let in.
 struct Level {
     share: f64,
     judge_at: f64,
@@ -336,8 +334,6 @@
     }
 }
 
-// ---------------------------------------------------------------- the steward
-
 /// A table: its zone, whether for products confined to it, and its node in the zone's tree.
 type Tbl = (ZoneId, bool, u32);
 
@@ -375,6 +371,8 @@
     /// Good answers a second for each unit of weight: the best of late.
     best: f64,
     present: Plan,
+    /// The weight that may yet be gated.
+    room: f64,
     summed_at: f64,
     /// The time that a sum covers of late.
     cover: f64,
@@ -423,7 +421,7 @@
         };
         Steward {
             masks: [false, true].map(mask), post, products, sla, sidecars, warmup, sums, channel, roster,
-            sent: VecDeque::new(), marks: 0, cover: 0.0, best: 0.0, failures: 0, ask_at: f64::MIN,
+            sent: VecDeque::new(), marks: 0, cover: 0.0, best: 0.0, room: 0.0, failures: 0, ask_at: f64::MIN,
             spill: BTreeMap::new(), present: Plan::default(), fresh: true, urgent: false,
             levels: BTreeMap::new(), hosts: BTreeMap::new(), proxies: BTreeMap::new(), usual_voided: 0.0,
             summed_at: f64::MIN, planned_at: f64::MIN,
@@ -462,10 +460,13 @@
                 // Where sums are late altogether, the last that came still tell a busy host.
                 let span = self.cover + BUCKET + now - self.summed_at;
                 if let Some(host) = self.hosts.get_mut(host) {
-                    let pass = passes(*outcome, &host.met(now, span));
-                    host.busy = report.busy.or(host.busy);
+                    // A host that errs is home and the rest must carry it: it may be the probes that err.
                     let shut = host.gate.shut;
+                    let spared = *outcome == Outcome::Errored && !shut && host.weight > self.room;
+                    let pass = passes(*outcome, &host.met(now, span)).filter(|_| !spared);
+                    host.busy = report.busy.or(host.busy);
                     host.gate.count(now, pass, 1, 0.0);
+                    self.room -= if host.gate.shut && !shut { host.weight } else { 0.0 };
                     self.urgent |= host.gate.shut && pass != Some(shut);
                     // A fail is asked after soon: a run then shows in little over a second.
                     if pass == Some(false) && !host.gate.shut {
@@ -524,15 +525,15 @@
         let pairs = self.hosts.values().map(|host| host.met.len()).sum::<usize>()
             + self.proxies.values().map(|proxy| proxy.came.len()).sum::<usize>();
         let turn = 1_000.0 * pairs as f64 / self.sums.lines_per_s.max(1.0);
-        self.cover = turn.clamp(self.sums.every, LOOK_BACK - 2_000.0);
+        self.cover = turn.clamp(self.sums.every, BUCKET * BUCKETS as f64 - 2_000.0);
         let (window, long, sla) = (self.cover + BUCKET, self.cover + 2_000.0, self.sla);
         let on = || self.hosts.values().filter(|host| host.standing == Standing::On);
         let tried = on().map(|host| host.met(now, window)).filter(|real| real.tries >= 3.0);
         self.usual_voided = 1.0 - median(tried.map(|real| 1.0 - real.voided_part()).collect());
         let means = on().map(|host| host.met(now, long)).filter(|real| real.good() >= 6.0);
         let usual_mean = median(means.map(|real| real.mean()).collect());
-        // The rest must carry what is gated by sums: a third of the fleet at the most.
-        let mut room: f64 = on().map(|host| host.weight * if host.gate.shut { -0.66 } else { 0.34 }).sum();
+        // The rest must carry what is gated: a third of the fleet at the most, but for hosts that are gone.
+        self.room = on().map(|host| host.weight * if host.gate.shut { -0.66 } else { 0.34 }).sum();
         for (id, host) in self.hosts.iter_mut().filter(|(_, host)| host.standing == Standing::On) {
             if self.post.may_probe && now >= host.probed_at + PROBE_PERIOD - 1.0 {
                 host.probed_at = now;
@@ -541,8 +542,8 @@
             if std::mem::take(&mut host.summed) {
                 let real = host.met(now, window);
                 host.ease(now, &host.met(now, long), usual_mean, sla, self.cover);
-                if fails_txns(&real, self.usual_voided, sla) && (host.gate.shut || host.weight <= room) {
-                    room -= if host.gate.shut { 0.0 } else { host.weight };
+                if fails_txns(&real, self.usual_voided, sla) && (host.gate.shut || host.weight <= self.room) {
+                    self.room -= if host.gate.shut { 0.0 } else { host.weight };
                     host.gate.count(now, Some(false), 1 + (self.cover / PROBE_PERIOD) as u32, 8_000.0);
                 }
             }
@@ -666,9 +667,9 @@
 
     /// Levels, zone by zone, from the zone's own figures: what its proxies met and what came.
     fn admit(&mut self, now: f64, zone: ZoneId, mut asks: Vec<Ask>, cold: Option<f64>, plan: &mut Plan) {
-        let window = self.cover + BUCKET;
         let hosts = self.hosts.values().filter(|host| !host.gate.shut);
-        let met = hosts.filter_map(|host| host.met.get(&zone)).map(|ring| ring.last(now, window));
+        let met =
+            hosts.filter_map(|host| host.met.get(&zone)).map(|ring| ring.last(now, self.cover + BUCKET));
         let met: Vec<Tally> = met.filter(|met| !fails_txns(met, self.usual_voided, self.sla)).collect();
         let settled = met.iter().map(Tally::rate).sum();
         let real = met.into_iter().fold(Tally::default(), Tally::plus);
@@ -791,9 +792,8 @@
         if lines.is_empty() {
             return;
         }
-        for (_, proxy) in self.proxies.iter_mut().filter(|(id, _)| lines.contains_key(id)) {
-            proxy.messages.add(now, Tally::new(1, 0, 0.0, 0.0));
-        }
+        let written = self.proxies.iter_mut().filter(|(id, _)| lines.contains_key(id));
+        written.for_each(|(_, proxy)| proxy.messages.add(now, Tally::new(1, 0, 0.0, 0.0)));
         let mark = MarkId(self.marks);
         self.marks = self.marks.wrapping_add(1);
         self.sent.push_back((mark, lines));
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -479,3 +479,19 @@
     "#]]
     .assert_eq(&fleet.trace);
 }
+
+/// Incident on ledger-sicilia-later: probes erred at hosts that served, two thirds were gated at once.
+#[test]
+fn probes_that_err_everywhere_gate_a_third_and_no_host_that_serves() {
+    let mut fleet = Fleet::new(1, 6);
+    fleet.join(0);
+    fleet.met(5, 0, 10, 0, 100.0);
+    fleet.trace.clear();
+    fleet.run(1);
+    (0..6).rev().for_each(|host| fleet.probes(host, &[Outcome::Errored; 3]));
+    let gates: Vec<&str> = fleet.trace.lines().filter(|line| !line.contains("errored")).collect();
+    expect![[r#"
+        7200 withdraw host4
+        10200 withdraw host3"#]]
+    .assert_eq(&gates.join("\n"));
+}
