One probe to four txns at the most in calm; parts of slow hosts rise sooner

A host with nothing amiss is now probed so rarely that a steward's probes are a quarter of the txns its proxies told of, 1 to 8 s apart; one that failed a probe, is gated, or voids more than others of late is probed each second. It may see a silent host later that gets no txns.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,7 +40,7 @@
     }
 }
 
-/// Finer than any sum comes, and enough of them for the longest look back.
+/// Finer than any sum comes; enough for 12 s, the longest look back.
 const BUCKET: f64 = 500.0;
 const BUCKETS: usize = 24;
 
@@ -152,7 +152,7 @@
         if due && mean > 0.5 * sla && mean > 1.6 * usual_mean && self.pace > 0.15 {
             let step = (1.6 * usual_mean / mean).clamp(0.5, 0.75);
             (self.pace, self.paced_at) = (self.pace * step, now);
-        } else if due && self.pace < 1.0 && mean < 0.8 * usual_mean && now > self.paced_at + 10_000.0 {
+        } else if due && self.pace < 1.0 && mean < 0.5 * usual_mean {
             (self.pace, self.paced_at) = (f64::min(1.0, self.pace / 0.6), now);
         }
     }
@@ -303,7 +303,6 @@
 const URGENT: (f64, f64) = (0.85, 0.83);
 const ROUTINE: (f64, f64) = (0.5, 0.67);
 
-/// One reply as it is put together, with what it writes to each proxy.
 struct Reply<'a> {
     now: f64,
     channel: &'a Channel,
@@ -371,7 +370,6 @@
     /// Good answers a second for each unit of weight: the best of late.
     best: f64,
     present: Plan,
-    /// The weight that may yet be gated.
     room: f64,
     summed_at: f64,
     /// The time that a sum covers of late.
@@ -387,10 +385,10 @@
     fn decide(&mut self, now: f64, events: &[Event]) -> Vec<Order> {
         let mut out = Vec::new();
         events.iter().for_each(|event| self.hear(now, event));
-        let due = self.fresh || events.iter().any(|event| matches!(event, Event::Due { .. }));
+        let due =
+            std::mem::take(&mut self.fresh) || events.iter().any(|event| matches!(event, Event::Due { .. }));
         if due {
             out.push(Order::Timer { after: TICK, timer: TimerId(0) });
-            self.fresh = false;
         }
         // Where the list must be asked it is watched; after a failure asked again, ever more rarely.
         if self.roster.asked && now >= self.ask_at {
@@ -524,8 +522,7 @@
         // Where the lines of a period are more than are taken in, each waits its turn and covers longer.
         let pairs = self.hosts.values().map(|host| host.met.len()).sum::<usize>()
             + self.proxies.values().map(|proxy| proxy.came.len()).sum::<usize>();
-        let turn = 1_000.0 * pairs as f64 / self.sums.lines_per_s.max(1.0);
-        self.cover = turn.clamp(self.sums.every, BUCKET * BUCKETS as f64 - 2_000.0);
+        self.cover = (1_000.0 * pairs as f64 / self.sums.lines_per_s).min(10_000.0).max(self.sums.every);
         let (window, long, sla) = (self.cover + BUCKET, self.cover + 2_000.0, self.sla);
         let on = || self.hosts.values().filter(|host| host.standing == Standing::On);
         let tried = on().map(|host| host.met(now, window)).filter(|real| real.tries >= 3.0);
@@ -534,13 +531,19 @@
         let usual_mean = median(means.map(|real| real.mean()).collect());
         // The rest must carry what is gated: a third of the fleet at the most, but for hosts that are gone.
         self.room = on().map(|host| host.weight * if host.gate.shut { -0.66 } else { 0.34 }).sum();
+        // One probe to four txns at the most, each a second at least where something is amiss.
+        let asked = self.proxies.values().map(|proxy| proxy.joined_rate).sum::<f64>().max(1.0);
+        let calm = (4_000.0 * on().count() as f64 / asked).clamp(PROBE_PERIOD, 8.0 * PROBE_PERIOD);
         for (id, host) in self.hosts.iter_mut().filter(|(_, host)| host.standing == Standing::On) {
-            if self.post.may_probe && now >= host.probed_at + PROBE_PERIOD - 1.0 {
+            let period = if host.gate.shut || host.gate.fails > 0 { PROBE_PERIOD } else { calm };
+            if self.post.may_probe && now >= host.probed_at + period - 1.0 {
                 host.probed_at = now;
                 out.push(Order::Probe { host: *id });
             }
             if std::mem::take(&mut host.summed) {
                 let real = host.met(now, window);
+                let amiss = real.voided_part() > self.usual_voided + 0.2;
+                host.probed_at -= if amiss { calm - PROBE_PERIOD } else { 0.0 };
                 host.ease(now, &host.met(now, long), usual_mean, sla, self.cover);
                 if fails_txns(&real, self.usual_voided, sla) && (host.gate.shut || host.weight <= self.room) {
                     self.room -= if host.gate.shut { 0.0 } else { host.weight };
@@ -602,8 +605,7 @@
         let free = asks.iter().flatten().filter(|ask| !ask.product.own_zone);
         let movable = free.map(|ask| ask.total).sum::<f64>() / demands.iter().sum::<f64>().max(1e-9);
         if self.post.by_zone && self.post.stewards > 1 {
-            // Other zones' proxies are other stewards': their hosts are taken to be as full as the home
-            // zone's, or as they say that they are busy beside it, at the median: reports may lie.
+            // Other stewards' zones are as full as ours, or as their hosts say, at the median: some may lie.
             let busy = |zone: &ZoneId| median(open(*zone).filter_map(|(_, host, _)| host.busy).collect());
             let (home, busy) = (self.post.zone.0 as usize, zones.iter().map(busy).collect::<Vec<f64>>());
             let fair = demands[home] / weights[home].max(1e-9);
@@ -742,8 +744,7 @@
             let share = |tbl: TblId| move |&(host, weight): &_| Order::Share { tbl, host, weight };
             let orders: Vec<Order> = changes.iter().map(share(number(*tbl))).collect();
             let bare = standing.keys().all(|host| present.held.contains(host));
-            let returns = changes.iter().any(|(host, _)| back(host));
-            let may = match (bare, returns) {
+            let may = match (bare, changes.iter().any(|(host, _)| back(host))) {
                 (true, _) => DRAIN,
                 (_, true) => URGENT,
                 _ => ROUTINE,
@@ -789,14 +790,13 @@
         }
         let Reply { lines, orders, .. } = reply;
         out.extend(orders);
-        if lines.is_empty() {
-            return;
-        }
         let written = self.proxies.iter_mut().filter(|(id, _)| lines.contains_key(id));
         written.for_each(|(_, proxy)| proxy.messages.add(now, Tally::new(1, 0, 0.0, 0.0)));
-        let mark = MarkId(self.marks);
-        self.marks = self.marks.wrapping_add(1);
-        self.sent.push_back((mark, lines));
-        out.push(Order::Mark { mark, everyone: false });
+        if !lines.is_empty() {
+            let mark = MarkId(self.marks);
+            self.marks = self.marks.wrapping_add(1);
+            self.sent.push_back((mark, lines));
+            out.push(Order::Mark { mark, everyone: false });
+        }
     }
 }
