A table with nothing open counts as full, so its proxies leave at once

Now it counts as full and its proxies sit elsewhere in the same plan, by urgent binds. Holds for tables emptied by gates, drains or cold hosts alike.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -222,7 +222,7 @@
     let sum = |of: &[f64], node: u32| groups(node).map(|group| of[group as usize]).sum::<f64>();
     // The load of a table beside the fair one, with one more part of the zone's demand on it.
     let filled = |load: &[f64], node: u32, part: f64| {
-        (part + sum(load, node)) * sum(open, 1) / sum(open, node).max(1e-9)
+        (part.max(1e-6) + sum(load, node)) * sum(open, 1) / sum(open, node).max(1e-9)
     };
     let mut load = vec![0.0; open.len()];
     let sit = |load: &mut [f64], node: u32, part: f64| {
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -495,3 +495,31 @@
         10200 withdraw host3"#]]
     .assert_eq(&gates.join("\n"));
 }
+
+/// Hunted day on nadi-campus-later: every host of a proxy's small table was gated, and it stayed there.
+#[test]
+fn a_proxy_leaves_a_small_table_whose_hosts_are_all_gated() {
+    let mut fleet = Fleet::new(1, 12);
+    (0..4).for_each(|proxy| fleet.join(proxy));
+    fleet.run(1);
+    fleet.trace.clear();
+    for host in (0..12).filter(|host| host % 4 < 2) {
+        fleet.probes(host, &[Outcome::Unreachable; 3]);
+    }
+    let lines = fleet.trace.lines().filter(|line| !line.contains("unreachable"));
+    expect![[r#"
+        4200 withdraw host0
+        7200 withdraw host1
+        10200 withdraw host4
+        10200 t4 host2 weight 1
+        10200 t4 host3 weight 1
+        10200 t4 host6 weight 1
+        10200 t4 host7 weight 1
+        10200 t4 host10 weight 1
+        10200 t4 host11 weight 1
+        13200 withdraw host5
+        16200 withdraw host8
+        19200 withdraw host9
+        19200 bind proxy3 to t4 for 1"#]]
+    .assert_eq(&lines.collect::<Vec<_>>().join("\n"));
+}
