Leave a small table none of whose own hosts is open, where a product is confined

A node without an open host of its zone is now no seat where a product is confined. Holds for drains and cold hosts as well; it may move free products off hosts that would serve them.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -178,7 +178,7 @@
 }
 
 /// Neighbours' hosts join where a zone's own carry more than the fleet's share, by skewed demand or lost
-/// hosts. Costs crossings. Parts are sticky and in quarters: small shifts write no orders.
+/// hosts; all, where none is left. Costs crossings. Parts are sticky quarters: small shifts write no orders.
 fn spill(parts: &mut BTreeMap<(ZoneId, ZoneId), f64>, weights: &[f64], demands: &[f64], movable: f64) {
     let fair = demands.iter().sum::<f64>() / weights.iter().sum::<f64>().max(1e-9);
     let room: Vec<f64> = weights.iter().zip(demands).map(|(w, d)| (w * fair - d).max(0.0)).collect();
@@ -186,7 +186,6 @@
     for (place, (weight, demand)) in weights.iter().zip(demands).enumerate() {
         let out = f64::min(0.95, (demand - weight * fair).max(0.0) / (movable * demand).max(1e-9));
         for other in (0..weights.len()).filter(|other| *other != place) {
-            // A zone with no host left takes all of its neighbours' on.
             let flow = out * room[other] / all_room;
             let each = flow * weight / (1.0 - out) / weights[other].max(1e-9);
             let exact = if *weight > 0.0 { each } else { 1.0 };
@@ -219,7 +218,6 @@
     let most = open.len() as u32;
     let groups = |node: u32| (node - breadth(node)..most).step_by(breadth(node) as usize);
     let sum = |of: &[f64], node: u32| groups(node).map(|group| of[group as usize]).sum::<f64>();
-    // The load of a table beside the fair one, with one more part of the zone's demand on it.
     let filled = |load: &[f64], node: u32, part: f64| {
         (part.max(1e-6) + sum(load, node)) * sum(open, 1) / sum(open, node).max(1e-9)
     };
@@ -279,7 +277,6 @@
     }
 }
 
-/// The rate at each proxy with which so much of what came to all gets in.
 fn even_rate(mut rates: Vec<f64>, share: f64) -> f64 {
     rates.sort_by(f64::total_cmp);
     let mut left = share * rates.iter().sum::<f64>();
@@ -361,7 +358,6 @@
     /// The part of its weight that a zone's host has in another zone's table, by (table, hosts).
     spill: BTreeMap<(ZoneId, ZoneId), f64>,
     levels: BTreeMap<ZoneId, Level>,
-    /// The voided part of tries at the median host.
     usual_voided: f64,
     /// Good answers a second for each unit of weight: the best of late.
     best: f64,
@@ -616,9 +612,9 @@
         let rings = self.hosts.values().flat_map(|host| host.met.values());
         let good: f64 = rings.map(|ring| ring.last(now, self.cover + BUCKET).rate()).sum();
         self.best = f64::max(self.best * 0.999, good / weights.iter().sum::<f64>().max(1e-9));
-        let mut usable = BTreeMap::new();
+        let (mut usable, mut homes) = (BTreeMap::new(), Vec::new());
         let mut lines: BTreeMap<_, Vec<(u32, HostId, f64)>> = BTreeMap::new();
-        for (zone, own) in zones.iter().flat_map(|zone| [(*zone, false), (*zone, true)]) {
+        for (zone, own) in zones.iter().flat_map(|zone| [(*zone, true), (*zone, false)]) {
             // The smallest tables have the size of those that proxies start with, or up to twice that.
             let listed = |host: &&Host| host.zone == zone && host.standing != Standing::Gone;
             let count = self.hosts.values().filter(listed).count() as u32;
@@ -636,7 +632,12 @@
                 }
             }
             usable.insert((zone, own), open.iter().sum::<f64>());
-            if !own {
+            if own {
+                homes = open;
+            } else {
+                // Where a product may not leave, neighbours' hosts alone make no seat.
+                let bare = homes.iter().map(|home| confined && *home <= 0.0);
+                open.iter_mut().zip(bare).filter(|(_, bare)| *bare).for_each(|(open, _)| *open = 0.0);
                 let gain = if now < self.still_until { 100.0 } else { 0.25 };
                 seat(&mut self.proxies, zone, &asks[zone.0 as usize], &open, gain);
             }
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -109,6 +109,14 @@
         self.sums.push(Event::Came { proxy, product, txns, voided: 0, over: 1_000.0 });
     }
 
+    /// So many proxies answer all marks so far.
+    pub fn catch_up(&mut self, proxies: u16) {
+        for mark in 0..40 {
+            let applied = |proxy| Event::Applied { proxy: ProxyId(proxy), mark: MarkId(mark), took: 300.0 };
+            self.say(&(0..proxies).map(applied).collect::<Vec<_>>());
+        }
+    }
+
     /// Lets so many ticks pass.
     pub fn run(&mut self, ticks: u32) {
         for _ in 0..ticks {
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -466,10 +466,7 @@
     fleet.trace.clear();
     fleet.run(20);
     fleet.note("the channel has caught up");
-    for mark in 0..11 {
-        let applied = |proxy| Event::Applied { proxy: ProxyId(proxy), mark: MarkId(mark), took: 300.0 };
-        fleet.say(&(0..10).map(applied).collect::<Vec<_>>());
-    }
+    fleet.catch_up(10);
     fleet.run(3);
     expect![[r#"
         3600 t0 host1 weight 0.25
@@ -529,10 +526,7 @@
 fn proxies_keep_their_tables_while_few_connections_are_taken() {
     let mut fleet = Fleet::new(1, 24);
     (0..5).for_each(|proxy| fleet.join(proxy));
-    for mark in 0..5 {
-        let applied = |proxy| Event::Applied { proxy: ProxyId(proxy), mark: MarkId(mark), took: 300.0 };
-        fleet.say(&(0..5).map(applied).collect::<Vec<_>>());
-    }
+    fleet.catch_up(5);
     fleet.trace.clear();
     for (voided, word) in [(12, "six in ten voided beside quick answers"), (0, "none voided")] {
         fleet.note(word);
@@ -550,3 +544,31 @@
         25400 bind proxy2 to t8 for 1"#]]
     .assert_eq(&lines.collect::<Vec<_>>().join("\n"));
 }
+
+/// At full size: a small table's own hosts were all gated, neighbours' hosts in it held its proxies there.
+#[test]
+fn a_table_without_open_hosts_of_its_zone_is_left_where_a_product_is_confined() {
+    let confined = Product { own_zone: true, ..fleet::product(Effect::OnceOnly) };
+    let products = vec![fleet::product(Effect::InquiryLike), confined];
+    let mut fleet = Fleet::with(2, 24, products, LevelKind::Off);
+    (0..6).for_each(|proxy| fleet.join(2 * proxy));
+    fleet.catch_up(11);
+    fleet.trace.clear();
+    for host in (0..24).filter(|host| host % 4 == 0) {
+        fleet.catch_up(11);
+        fleet.probes(host, &[Outcome::Unreachable; 3]);
+    }
+    let lines = fleet.trace.lines().filter(|line| line.contains("withdraw") || line.contains("bind"));
+    expect![[r#"
+        4000 withdraw host0
+        7000 withdraw host4
+        10000 withdraw host8
+        13000 withdraw host12
+        13000 bind proxy6 to t8 for 1
+        13000 bind proxy6 to t10 for 10
+        16000 withdraw host16
+        19000 withdraw host20
+        19000 bind proxy10 to t8 for 1
+        19000 bind proxy10 to t10 for 10"#]]
+    .assert_eq(&lines.collect::<Vec<_>>().join("\n"));
+}
