--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -115,7 +115,6 @@
 
 struct Host {
     zone: ZoneId,
-    /// It says in which of its zone's smaller tables the host stands.
     place: u32,
     weight: f64,
     standing: Standing,
@@ -178,7 +177,7 @@
 }
 
 /// Neighbours' hosts join where a zone's own carry more than the fleet's share, by skewed demand or lost
-/// hosts; all, where none is left. Costs crossings. Parts are sticky quarters: small shifts write no orders.
+/// hosts; all, where none is left. Costs crossings. Sticky quarters, so that small shifts write no orders.
 fn spill(parts: &mut BTreeMap<(ZoneId, ZoneId), f64>, weights: &[f64], demands: &[f64], movable: f64) {
     let fair = demands.iter().sum::<f64>() / weights.iter().sum::<f64>().max(1e-9);
     let room: Vec<f64> = weights.iter().zip(demands).map(|(w, d)| (w * fair - d).max(0.0)).collect();
@@ -359,7 +358,6 @@
     spill: BTreeMap<(ZoneId, ZoneId), f64>,
     levels: BTreeMap<ZoneId, Level>,
     usual_voided: f64,
-    /// Good answers a second for each unit of weight: the best of late.
     best: f64,
     present: Plan,
     room: f64,
@@ -378,8 +376,7 @@
     fn decide(&mut self, now: f64, events: &[Event]) -> Vec<Order> {
         let mut out = Vec::new();
         events.iter().for_each(|event| self.hear(now, event));
-        let due =
-            std::mem::take(&mut self.fresh) || events.iter().any(|event| matches!(event, Event::Due { .. }));
+        let due = std::mem::take(&mut self.fresh) || events.iter().any(|e| matches!(e, Event::Due { .. }));
         if due {
             out.push(Order::Timer { after: TICK, timer: TimerId(0) });
         }
@@ -503,7 +500,7 @@
             taken.insert((zone, host.place));
             let known = host.cold_since.unwrap_or(now - self.warmup.within);
             if let Some(born) = entry.born.filter(|born| *born > known) {
-                // What it did before it started anew says nothing: two passes bring it back.
+                // What it did before it started anew says nothing.
                 (host.gate, host.cold_since) = (Gate { shut: host.gate.shut, ..Gate::default() }, Some(born));
                 host.met.clear();
             }
@@ -608,7 +605,10 @@
                 *demand = demand.max(fair * beside * weights[place]);
             }
         }
-        spill(&mut self.spill, &weights, &demands, movable);
+        // Looked at every other tick: parts that followed each would chase their own effect.
+        if self.urgent || (now / 400.0) as i64 != (self.planned_at / 400.0) as i64 {
+            spill(&mut self.spill, &weights, &demands, movable);
+        }
         let rings = self.hosts.values().flat_map(|host| host.met.values());
         let good: f64 = rings.map(|ring| ring.last(now, self.cover + BUCKET).rate()).sum();
         self.best = f64::max(self.best * 0.999, good / weights.iter().sum::<f64>().max(1e-9));
