Cold hosts stay out while the median host is slow or voids a quarter of its tries

While the median host's good answers take 0.6 of the SLA time, or it voids a quarter of its tries, no cold host is let in. Holds for any strain that makes proxies, or the less-busy pick, turn to fresh hosts; it keeps capacity out for up to the warming time.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -101,7 +101,6 @@
 }
 
 impl Gate {
-    /// It stays shut a least time, against a host that passes probes but fails txns.
     fn count(&mut self, now: f64, pass: Option<bool>, weighing: u32, least: f64) {
         if let Some(pass) = pass {
             let (fails, passes) = (self.fails + weighing, self.passes + 1);
@@ -339,7 +338,6 @@
 pub struct Steward {
     post: Post,
     products: Vec<Product>,
-    /// Of products that may leave their zone, and of those that may not.
     masks: [Products; 2],
     sla: f64,
     sidecars: Sidecars,
@@ -361,8 +359,8 @@
     best: f64,
     present: Plan,
     room: f64,
+    strained: bool,
     summed_at: f64,
-    /// The time that a sum covers of late.
     cover: f64,
     planned_at: f64,
     still_until: f64,
@@ -410,7 +408,7 @@
         Steward {
             masks: [false, true].map(mask), post, products, sla, sidecars, warmup, sums, channel, roster,
             sent: VecDeque::new(), marks: 0, cover: 0.0, best: 0.0, room: 0.0, failures: 0, ask_at: f64::MIN,
-            spill: BTreeMap::new(), present: Plan::default(), fresh: true, urgent: false,
+            spill: BTreeMap::new(), present: Plan::default(), fresh: true, urgent: false, strained: false,
             levels: BTreeMap::new(), hosts: BTreeMap::new(), proxies: BTreeMap::new(), usual_voided: 0.0,
             summed_at: f64::MIN, planned_at: f64::MIN, still_until: f64::MIN,
         }
@@ -520,6 +518,7 @@
         let usual_mean = median(means.map(|real| real.mean()).collect());
         // Voids everywhere beside quick answers: few connections are taken, those that stand are worth most.
         let scarce = self.usual_voided > 0.2 && usual_mean > 0.0 && usual_mean < 0.5 * sla;
+        self.strained = (0.25..1.0).contains(&self.usual_voided) || usual_mean > 0.6 * sla;
         self.still_until = if scarce { now + 10_000.0 } else { self.still_until };
         // The rest must carry what is gated: a third of the fleet at the most, but for hosts that are gone.
         self.room = on().map(|host| host.weight * if host.gate.shut { -0.66 } else { 0.34 }).sum();
@@ -580,11 +579,12 @@
         let few: BTreeSet<ZoneId> = zones.iter().copied().filter(few).collect();
         plan.held = self.hosts.keys().copied().collect();
         for (id, host, _) in able() {
-            // With every host gated, gates are ignored; so too, in a zone with few, where a product may
-            // not leave it. Nor are cold ones let in there: they would get all.
+            // With every host gated, gates are ignored; so too, in a zone with few, where a product may not
+            // leave it. Nor are cold ones let in there, or where tries fail at all: they would get all.
             let few = few.contains(&host.zone);
             let gated = host.gate.shut && !none_open && !(few && confined);
-            if !gated && (!few || warm(host)) {
+            let calm = !few && !self.strained;
+            if !gated && (calm || warm(host)) {
                 plan.held.remove(&id);
             }
         }
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -570,3 +570,33 @@
         19000 bind proxy10 to t10 for 10"#]]
     .assert_eq(&lines.collect::<Vec<_>>().join("\n"));
 }
+
+/// Hunted day on velesanas-riga-later: proxies shun hosts that fail them, cold ones got all that was left.
+#[test]
+fn cold_hosts_stay_out_while_all_are_slow() {
+    let mut fleet = Fleet::new(1, 4);
+    fleet.join(0);
+    fleet.list(1, Standing::On, Some(fleet.now));
+    fleet.trace.clear();
+    for mean in [900.0, 900.0, 900.0, 900.0, 900.0, 900.0, 100.0, 100.0, 100.0, 100.0] {
+        fleet.note(&format!("good answers take {mean}"));
+        (0..4).filter(|host| *host != 1).for_each(|host| fleet.met(host, 0, 20, 0, mean));
+        fleet.run(5);
+    }
+    expect![[r#"
+        1000 good answers take 900
+        2000 good answers take 900
+        3000 good answers take 900
+        3600 t0 host1 weight 0.25
+        3600 admit t0 for 1: 1 One
+        4000 good answers take 900
+        5000 good answers take 900
+        6000 good answers take 900
+        7000 good answers take 100
+        8000 restore host1
+        8000 good answers take 100
+        9000 good answers take 100
+        10000 good answers take 100
+    "#]]
+    .assert_eq(&fleet.trace);
+}
