--- /dev/null
+++ b/crates/facts/src/lib.rs
@@ -0,0 +1,228 @@
+//! The settings that an instance is given, as the start facts of its decisions.
+//!
+//! They come as `path=value` pairs or as nested JSON, under the same names and units (times are
+//! nanoseconds); both are read here into the same paths, and turned into facts once.
+
+mod names;
+
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+use amberarch_core::*;
+use amberarch_policy::Steward;
+use serde_json::Value;
+
+pub use names::Names;
+
+/// What was given, by path; lists of plain values are joined by commas.
+#[derive(Clone, Debug)]
+pub struct Given(BTreeMap<String, String>);
+
+impl Given {
+    pub fn from_pairs<'a>(pairs: impl Iterator<Item = &'a str>) -> Result<Given, String> {
+        let pair = |pair: &str| {
+            let split = pair.split_once('=').map(|(path, value)| (path.to_string(), value.to_string()));
+            split.ok_or_else(|| format!("expected path=value, found '{pair}'"))
+        };
+        pairs.filter(|pair| !pair.is_empty()).map(pair).collect::<Result<_, _>>().map(Given)
+    }
+
+    pub fn from_json(settings: &Value) -> Result<Given, String> {
+        match settings {
+            Value::Object(_) => {
+                let mut given = Given(BTreeMap::new());
+                given.flatten("", settings);
+                Ok(given)
+            }
+            other => Err(format!("expected the settings as an object, found {other}")),
+        }
+    }
+
+    fn flatten(&mut self, path: &str, value: &Value) {
+        let below = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
+        let plain = |value: &Value| match value {
+            Value::String(text) => text.replace([' ', ','], "_"),
+            other => other.to_string(),
+        };
+        match value {
+            Value::Null => {}
+            Value::Object(fields) => fields.iter().for_each(|(key, value)| self.flatten(&below(key), value)),
+            Value::Array(items) if items.iter().any(Value::is_object) => {
+                self.0.insert(below("count"), items.len().to_string());
+                items.iter().enumerate().for_each(|(at, item)| self.flatten(&below(&at.to_string()), item));
+            }
+            Value::Array(items) => {
+                self.0.insert(path.into(), items.iter().map(plain).collect::<Vec<_>>().join(","));
+            }
+            one => {
+                self.0.insert(path.into(), plain(one));
+            }
+        }
+    }
+
+    /// For a front that stands in for something the settings speak of.
+    pub fn with(mut self, path: &str, value: &str) -> Given {
+        self.0.insert(path.into(), value.into());
+        self
+    }
+
+    pub fn zones(&self) -> Result<Vec<String>, String> {
+        Ok(self.text("dcs")?.split(',').map(String::from).collect())
+    }
+
+    pub fn kinds(&self) -> Result<Vec<String>, String> {
+        Ok(self.text("kinds")?.split(',').map(String::from).collect())
+    }
+
+    pub fn products(&self) -> Result<Vec<String>, String> {
+        let name = |place| self.text(&format!("classes.{place}.name")).map(String::from);
+        (0..self.count("classes.count")?).map(name).collect()
+    }
+
+    /// Whether hosts tell their load when probed.
+    pub fn load_reports(&self) -> Result<bool, String> {
+        Ok(self.text("loadInfo.how")? != "off")
+    }
+
+    /// How long a connection may take to come up.
+    pub fn connect_within(&self) -> Result<f64, String> {
+        self.time("policyLimits.connectTimeout")
+    }
+
+    /// After how long a steward that has not asked for the list counts as told.
+    pub fn ask_within(&self) -> Result<f64, String> {
+        self.time("rules.askWithin")
+    }
+
+    fn text(&self, name: &str) -> Result<&str, String> {
+        let found = self.0.get(name).map(String::as_str);
+        found.ok_or_else(|| format!("expected the setting {name}, found none"))
+    }
+
+    fn number<T: FromStr>(&self, name: &str) -> Result<T, String> {
+        let text = self.text(name)?;
+        text.parse().map_err(|_| format!("expected a number for the setting {name}, found '{text}'"))
+    }
+
+    /// Whole numbers may be written with a fraction.
+    fn count(&self, name: &str) -> Result<u32, String> {
+        self.number::<f64>(name).map(|value| value as u32)
+    }
+
+    fn time(&self, name: &str) -> Result<f64, String> {
+        self.number::<f64>(name).map(|ns| ns / 1e6)
+    }
+
+    fn flag(&self, name: &str) -> Result<bool, String> {
+        let text = self.text(name)?;
+        flag(text).ok_or_else(|| format!("expected a flag for the setting {name}, found '{text}'"))
+    }
+
+    /// A flag that may be left out: then it does not hold.
+    fn optional_flag(&self, name: &str) -> Result<bool, String> {
+        match self.0.contains_key(name) {
+            true => self.flag(name),
+            false => Ok(false),
+        }
+    }
+
+    fn flag_at(&self, name: &str, place: u32) -> Result<bool, String> {
+        let text = self.text(name)?;
+        let part = text.split(',').nth(place as usize);
+        part.and_then(flag).ok_or_else(|| format!("expected a flag for each class in {name}, found '{text}'"))
+    }
+
+    fn one_of<T: Copy>(&self, name: &str, choices: &[(&str, T)]) -> Result<T, String> {
+        let text = self.text(name)?;
+        let found = choices.iter().find(|(word, _)| *word == text);
+        found.map(|(_, choice)| *choice).ok_or_else(|| {
+            let words: Vec<&str> = choices.iter().map(|(word, _)| *word).collect();
+            let words = words.join(" or ");
+            format!("expected {words} for the setting {name}, found '{text}'")
+        })
+    }
+
+    /// A steward with these facts, at its start.
+    pub fn steward(&self, seed: u64) -> Result<Steward, String> {
+        let s = self;
+        let post = Post {
+            seed,
+            zone: ZoneId(s.number("az")?),
+            zones: s.text("dcs")?.split(',').count() as u16,
+            stewards: s.count("balancers")?,
+            by_zone: s.flag("familyInfo.zonal")?,
+            slices: s.count("familyInfo.shards")?,
+            may_probe: s.flag("policyLimits.mayProbe")?,
+        };
+        let products =
+            (0..s.count("classes.count")?).map(|place| product(s, place)).collect::<Result<Vec<_>, _>>()?;
+        let channel = Channel {
+            lines_per_s: s.number("familyInfo.egressPerS")?,
+            head: s.number("familyInfo.overhead")?,
+            backlog: s.number("familyInfo.backlog")?,
+            messages: s.count("familyInfo.reloadsMax")?,
+            messages_over: s.time("familyInfo.messagesOver")?,
+            transit: s.time("familyInfo.propagation")?,
+            transit_worst: s.time("familyInfo.worstTransit")?,
+        };
+        let sidecars = Sidecars {
+            count: s.count("familyInfo.agents")?,
+            standing: s.count("familyInfo.bootstrap")?,
+            bare_for: s.time("familyInfo.emptyFor")?,
+            levels: s.one_of(
+                "familyInfo.levelKind",
+                &[("off", LevelKind::Off), ("fraction", LevelKind::Share), ("per_second", LevelKind::Rate)],
+            )?,
+            usual_tries: match s.count("familyInfo.defaultRetry")? {
+                0 => Tries::One,
+                1 => Tries::AfterProof,
+                2 => Tries::AfterAny,
+                _ => Tries::TwiceAfterAny,
+            },
+            try_wait: s.number("familyInfo.tryFactor")?,
+        };
+        let warmup = Warmup {
+            from: s.number("rules.coldFrom")?,
+            within: s.time("rules.warmWithin")?,
+            multiple: s.number("rules.fallMultiple")?,
+            fall_after: s.time("rules.overloadFor")?,
+        };
+        let roster = Roster {
+            asked: s.one_of("discovery", &[("on_request", true), ("pushed", false)])?,
+            ask_within: s.time("rules.askWithin")?,
+            grace: s.time("rules.drainGrace")?,
+            removal_not_binding: s.optional_flag("rules.removalNotBinding")?,
+        };
+        let sums = Sums {
+            every: s.time("familyInfo.reportEvery")?,
+            lines_per_s: s.number("familyInfo.reportsPerS")?,
+        };
+        Ok(Steward::new(post, products, channel, sidecars, warmup, roster, sums))
+    }
+}
+
+fn flag(text: &str) -> Option<bool> {
+    match text {
+        "true" | "1" => Some(true),
+        "false" | "0" => Some(false),
+        _ => None,
+    }
+}
+
+fn product(s: &Given, place: u32) -> Result<Product, String> {
+    let key = |name: &str| format!("classes.{place}.{name}");
+    let effects =
+        [("free", Effect::InquiryLike), ("guarded", Effect::Referenced), ("single_shot", Effect::OnceOnly)];
+    let scopes = [("all", Scope::All), ("zone", Scope::Zone), ("cell", Scope::Pod)];
+    Ok(Product {
+        sla: s.time(&key("goalTime"))?,
+        expiry: s.time(&key("deadline"))?,
+        effect: s.one_of(&key("effect"), &effects)?,
+        scope: s.one_of(&key("keyScope"), &scopes)?,
+        window: s.time(&key("window"))?,
+        revenue: s.number(&key("points"))?,
+        late_part: s.number(&key("lateWorth"))?,
+        own_zone: s.flag_at("familyInfo.classOwnZone", place)?,
+        writes: s.flag_at("familyInfo.classWrites", place)?,
+    })
+}
--- /dev/null
+++ b/crates/steward/src/counters.rs
@@ -0,0 +1,61 @@
+//! What the steward took in, sent and answered, and a bound on how often one thing is logged.
+
+use std::cell::Cell;
+use std::fmt;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+macro_rules! counters {
+    ($($name:ident)*) => {
+        #[derive(Default)]
+        pub struct Counters { $(pub $name: Count),* }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                $(write!(f, concat!(stringify!($name), "={} "), self.$name.0.get())?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    connections connections_shed lines_taken lines_skipped pings
+    batches events orders replies timers panics
+    calls calls_again calls_busy calls_refused calls_unsure calls_not_sent orders_skipped
+    watches news_lines news_skipped signs joined left applied
+    list_asks list_answers list_failures list_skipped
+    probes probes_passed probes_failed
+}
+
+#[derive(Default)]
+pub struct Count(Cell<u64>);
+
+impl Count {
+    pub fn one(&self) {
+        self.more(1);
+    }
+    pub fn more(&self, by: usize) {
+        self.0.set(self.0.get() + by as u64);
+    }
+}
+
+/// Lets one log line a second pass, and tells how many it held back before.
+#[derive(Default)]
+pub struct Seldom {
+    last: Cell<Option<Instant>>,
+    hidden: Cell<u64>,
+}
+
+impl Seldom {
+    pub fn pass(&self) -> Option<u64> {
+        let now = Instant::now();
+        if self.last.get().is_some_and(|last| now < last + Duration::from_secs(1)) {
+            self.hidden.set(self.hidden.get() + 1);
+            return None;
+        }
+        self.last.set(Some(now));
+        Some(self.hidden.replace(0))
+    }
+}
--- /dev/null
+++ b/crates/steward/src/desk.rs
@@ -0,0 +1,379 @@
+//! The one task that owns the decisions, the clock, the timers and the numbers of hosts. It gathers
+//! what has come in, lets the module decide, and hands out the orders. No input or output here.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::Rc;
+use std::time::Duration;
+
+use amberarch_core::*;
+use amberarch_facts::{Given, Names};
+use slog::{error, info, warn, Logger};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep_until, Instant};
+
+use crate::counters::{Counters, Seldom};
+use crate::lines::Said;
+use crate::list::{Ask, Health, Listing, Row};
+use crate::news::News;
+use crate::orders;
+use crate::probe::Probe;
+use crate::relay::Reply;
+
+/// What the other tasks bring.
+#[derive(Debug)]
+pub enum Heard {
+    Sum(Said),
+    /// What stands follows, then news: who is not in it has left.
+    Standing,
+    Stood,
+    News(News),
+    Listed(Listing),
+    ListFailed,
+    Probed {
+        host: HostId,
+        outcome: Outcome,
+        took: f64,
+        report: LoadReport,
+    },
+    /// The reply with this mark takes, or may take, one message more to each of its proxies.
+    Again {
+        mark: MarkId,
+    },
+}
+
+/// Where orders go.
+pub struct Out {
+    pub relay: mpsc::Sender<Reply>,
+    pub list: mpsc::Sender<Ask>,
+    pub probes: mpsc::Sender<Probe>,
+    /// Says that the steward can serve.
+    pub ready: watch::Sender<bool>,
+}
+
+/// The names that lines and lists use, in the order of the settings.
+struct Labels {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    products: Vec<String>,
+}
+
+#[derive(Clone, Copy)]
+struct Joined {
+    zone: ZoneId,
+    txns_per_s: f64,
+}
+
+pub struct Desk {
+    given: Given,
+    seed: u64,
+    steward: Box<dyn Decide>,
+    labels: Labels,
+    names: Names,
+    hosts: BTreeMap<HostId, (Listed, Option<SocketAddr>)>,
+    joined: BTreeMap<ProxyId, Joined>,
+    /// While what stands is read: who was joined and has not been named yet.
+    unseen: Option<BTreeSet<ProxyId>>,
+    timers: BinaryHeap<Reverse<(Instant, TimerId)>>,
+    start: Instant,
+    /// Unix time in milliseconds, by the system's clock.
+    unix: fn() -> f64,
+    events: Vec<Event>,
+    out: Out,
+    counters: Rc<Counters>,
+    skipped: Seldom,
+    log: Logger,
+}
+
+impl Desk {
+    pub fn new(
+        given: Given,
+        seed: u64,
+        known: Listing,
+        unix: fn() -> f64,
+        out: Out,
+        counters: Rc<Counters>,
+        log: Logger,
+    ) -> Result<Desk, String> {
+        let labels = Labels { zones: given.zones()?, kinds: given.kinds()?, products: given.products()? };
+        let mut desk = Desk {
+            steward: Box::new(given.steward(seed)?),
+            given,
+            seed,
+            labels,
+            names: Names::default(),
+            hosts: BTreeMap::new(),
+            joined: BTreeMap::new(),
+            unseen: None,
+            timers: BinaryHeap::new(),
+            start: Instant::now(),
+            unix,
+            events: Vec::new(),
+            out,
+            counters,
+            skipped: Seldom::default(),
+            log,
+        };
+        desk.listed(known, ListNews::Restored);
+        Ok(desk)
+    }
+
+    /// Runs until nobody is left who could bring anything.
+    pub async fn run(mut self, mut heard: mpsc::Receiver<Heard>) {
+        const MOST_AT_ONCE: usize = 1_024;
+        loop {
+            let due = self.timers.peek().map(|Reverse((at, _))| *at);
+            let far = Instant::now() + Duration::from_secs(60);
+            if self.events.is_empty() {
+                tokio::select! {
+                    biased;
+                    news = heard.recv() => match news {
+                        Some(news) => self.hear(news),
+                        None => return,
+                    },
+                    () = sleep_until(due.unwrap_or(far)) => {}
+                }
+            }
+            for _ in 0..MOST_AT_ONCE {
+                match heard.try_recv() {
+                    Ok(news) => self.hear(news),
+                    Err(_) => break,
+                }
+            }
+            let now = Instant::now();
+            while let Some(Reverse((at, timer))) = self.timers.peek().copied() {
+                if at > now {
+                    break;
+                }
+                self.timers.pop();
+                self.counters.timers.one();
+                self.events.push(Event::Due { timer });
+            }
+            if !self.events.is_empty() {
+                self.decide().await;
+            }
+        }
+    }
+
+    fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64() * 1e3
+    }
+
+    /// Turns what was heard into events; names that are not known are skipped.
+    fn hear(&mut self, heard: Heard) {
+        match heard {
+            Heard::Sum(sum) => match self.sum(sum) {
+                Ok(event) => self.events.push(event),
+                Err(why) => {
+                    self.counters.lines_skipped.one();
+                    if let Some(hidden) = self.skipped.pass() {
+                        warn!(self.log, "skipped a sum"; "why" => why, "hidden" => hidden);
+                    }
+                }
+            },
+            Heard::Standing => self.unseen = Some(self.joined.keys().copied().collect()),
+            Heard::Stood => {
+                for proxy in self.unseen.take().unwrap_or_default() {
+                    self.left(proxy);
+                }
+                self.out.ready.send_replace(true);
+            }
+            Heard::News(News::Joined { proxy, zone, weight, fresh }) => {
+                let Some(zone) = place(&self.labels.zones, &zone) else {
+                    self.counters.news_skipped.one();
+                    warn!(self.log, "a proxy joined from a zone that is not known"; "zone" => zone);
+                    return;
+                };
+                let (proxy, zone) = (ProxyId(proxy), ZoneId(zone));
+                // In what stands, one that is known goes on; one that holds no ordered table came anew.
+                let goes_on = self.unseen.as_mut().is_some_and(|unseen| unseen.remove(&proxy));
+                if goes_on && !fresh {
+                    return;
+                }
+                if self.joined.contains_key(&proxy) {
+                    self.left(proxy);
+                }
+                self.counters.joined.one();
+                self.joined.insert(proxy, Joined { zone, txns_per_s: weight });
+                self.events.push(Event::Joined { proxy, zone, txns_per_s: weight, fresh });
+            }
+            Heard::News(News::Left { proxy }) => {
+                if let Some(unseen) = &mut self.unseen {
+                    unseen.remove(&ProxyId(proxy));
+                }
+                self.left(ProxyId(proxy));
+            }
+            Heard::News(News::Applied { proxy, mark, took_ms }) => {
+                self.counters.applied.one();
+                let (proxy, mark) = (ProxyId(proxy), MarkId(mark));
+                self.events.push(Event::Applied { proxy, mark, took: took_ms });
+            }
+            Heard::Listed(listing) => {
+                let news = if listing.whole { ListNews::Whole } else { ListNews::Changes };
+                self.listed(listing, news);
+            }
+            Heard::ListFailed => {
+                self.events.push(Event::List { news: ListNews::Failed, entries: vec![] });
+            }
+            Heard::Probed { host, outcome, took, report } => {
+                self.events.push(Event::Probed { host, outcome, took, report });
+            }
+            Heard::Again { .. } => {}
+        }
+    }
+
+    fn left(&mut self, proxy: ProxyId) {
+        if self.joined.remove(&proxy).is_some() {
+            self.counters.left.one();
+            self.events.push(Event::Left { proxy });
+        }
+    }
+
+    fn sum(&self, sum: Said) -> Result<Event, String> {
+        match sum {
+            Said::Load { zone, host, tries, voided, mean, over, report } => {
+                let zone = place(&self.labels.zones, &zone).ok_or("a zone that is not known")?;
+                let host = self.names.find(&host).ok_or("a host that is not known")?;
+                Ok(Event::Met {
+                    host,
+                    zone: ZoneId(zone),
+                    over,
+                    tries,
+                    voided: voided.min(tries),
+                    mean,
+                    report,
+                })
+            }
+            Said::Rate { proxy, product, txns, voided, over } => {
+                let product = place(&self.labels.products, &product).ok_or("a product that is not known")?;
+                let (proxy, product) = (ProxyId(proxy), ProductId(product));
+                Ok(Event::Came { proxy, product, txns, voided, over })
+            }
+            Said::Ping | Said::Source { .. } => Err("no sum".into()),
+        }
+    }
+
+    fn listed(&mut self, listing: Listing, news: ListNews) {
+        let mut entries = Vec::with_capacity(listing.hosts.len());
+        for row in &listing.hosts {
+            match self.entry(row) {
+                Some(entry) => entries.push(entry),
+                None => {
+                    self.counters.list_skipped.one();
+                    warn!(self.log, "skipped a host of a zone that is not known"; "zone" => &row.site);
+                }
+            }
+        }
+        if listing.whole {
+            self.hosts.values_mut().for_each(|(listed, _)| listed.standing = Standing::Gone);
+        }
+        for (entry, row) in entries.iter().zip(&listing.hosts) {
+            self.hosts.insert(entry.host, (entry.clone(), row.dial.parse().ok()));
+        }
+        info!(self.log, "the list"; "seq" => listing.seq, "how" => ?news, "entries" => entries.len());
+        self.events.push(Event::List { news, entries });
+    }
+
+    fn entry(&mut self, row: &Row) -> Option<Listed> {
+        let zone = ZoneId(place(&self.labels.zones, &row.site)?);
+        let kind = place(&self.labels.kinds, &row.class).unwrap_or(self.labels.kinds.len() as u16);
+        // One clock is read by all machines; here its times become the module's.
+        let age = (self.unix)() - row.born_ms;
+        Some(Listed {
+            host: self.names.id(&row.host),
+            weight: row.share,
+            zone,
+            pod: PodId(row.block),
+            kind: KindId(kind),
+            born: (row.born_ms > 0.0).then(|| self.now() - age),
+            standing: match row.health {
+                Health::InService => Standing::On,
+                Health::Terminating => Standing::Draining,
+                Health::Terminated => Standing::Gone,
+            },
+        })
+    }
+
+    async fn decide(&mut self) {
+        let (now, events) = (self.now(), std::mem::take(&mut self.events));
+        self.counters.batches.one();
+        self.counters.events.more(events.len());
+        let steward = &mut self.steward;
+        match catch_unwind(AssertUnwindSafe(|| steward.decide(now, &events))) {
+            Ok(orders) => self.hand_out(orders).await,
+            Err(_) => {
+                self.counters.panics.one();
+                error!(
+                    self.log,
+                    "the decisions panicked; they start anew from the list and the joined proxies"
+                );
+                self.start_anew();
+            }
+        }
+    }
+
+    /// A new module from the facts, the list and the joined proxies; the proxies keep what they hold.
+    fn start_anew(&mut self) {
+        self.seed = self.seed.wrapping_add(1);
+        match self.given.steward(self.seed) {
+            Ok(steward) => self.steward = Box::new(steward),
+            Err(why) => error!(self.log, "the facts no longer read"; "why" => why),
+        }
+        self.timers.clear();
+        let entries = self.hosts.values().map(|(listed, _)| listed.clone()).collect();
+        self.events.push(Event::List { news: ListNews::Restored, entries });
+        for (proxy, Joined { zone, txns_per_s }) in &self.joined {
+            let (proxy, zone, txns_per_s) = (*proxy, *zone, *txns_per_s);
+            self.events.push(Event::Joined { proxy, zone, txns_per_s, fresh: false });
+        }
+    }
+
+    async fn hand_out(&mut self, decided: Vec<Order>) {
+        let (mut calls, mut mark) = (Vec::new(), None);
+        for order in &decided {
+            self.counters.orders.one();
+            match order {
+                Order::Timer { after, timer } => {
+                    let at = Instant::now() + Duration::from_secs_f64(after.max(0.0) / 1e3);
+                    self.timers.push(Reverse((at, *timer)));
+                }
+                Order::Probe { host } => self.probe(*host),
+                Order::Watch { on } => {
+                    let ask = if *on { Ask::Watch } else { Ask::Unwatch };
+                    let _ = self.out.list.send(ask).await;
+                }
+                Order::Fetch => {
+                    let _ = self.out.list.send(Ask::Whole).await;
+                }
+                Order::Log { text } => info!(self.log, "the decisions say"; "text" => text),
+                Order::Tell { .. } => warn!(self.log, "stewards do not speak with each other on sockets"),
+                order => {
+                    if let Order::Mark { mark: number, .. } = order {
+                        mark = Some(*number);
+                    }
+                    let name = |host| self.names.name(host).to_string();
+                    calls.extend(orders::encode(order, name, &self.labels.products));
+                }
+            }
+        }
+        if !calls.is_empty() {
+            self.counters.replies.one();
+            drop(self.out.relay.send(Reply { orders: calls, mark }).await);
+        }
+    }
+
+    fn probe(&mut self, host: HostId) {
+        let to = self.hosts.get(&host).and_then(|(_, dial)| *dial);
+        let sent = to.is_some_and(|to| self.out.probes.try_send(Probe { host, to }).is_ok());
+        if !sent {
+            let (outcome, report) = (Outcome::Unknown, LoadReport::default());
+            self.events.push(Event::Probed { host, outcome, took: 0.0, report });
+        }
+    }
+}
+
+fn place(labels: &[String], label: &str) -> Option<u16> {
+    labels.iter().position(|known| known == label).map(|place| place as u16)
+}
--- /dev/null
+++ b/crates/steward/src/http.rs
@@ -0,0 +1,169 @@
+//! One HTTP/1.1 exchange at a time on a connection of ours, and how far it came when it failed.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::task::AbortOnDropHandle;
+
+/// An answer is read up to this size: far over the list of the largest fleet.
+const MOST_BYTES: usize = 8 << 20;
+
+/// How far an attempt came.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    #[error("not sent: {0}")]
+    NotSent(String),
+    #[error("sent in part: {0}")]
+    InPart(String),
+    /// All of it may have arrived; nothing readable came back.
+    #[error("unsure: {0}")]
+    Unsure(String),
+}
+
+/// Where connections come from: sockets in service, memory in tests.
+pub trait Dial {
+    type Stream: AsyncRead + AsyncWrite + Unpin + 'static;
+    fn dial(&self) -> impl Future<Output = io::Result<Self::Stream>>;
+}
+
+pub struct Tcp(pub SocketAddr);
+
+impl Dial for Tcp {
+    type Stream = TcpStream;
+    async fn dial(&self) -> io::Result<TcpStream> {
+        let stream = TcpStream::connect(self.0).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+}
+
+/// Tells how many bytes the other side can have got at most.
+struct Counted<S> {
+    stream: S,
+    written: Rc<Cell<usize>>,
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        into: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, into)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Counted<S> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, from: &[u8]) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.stream).poll_write(cx, from);
+        if let Poll::Ready(Ok(count)) = poll {
+            self.written.set(self.written.get() + count);
+        }
+        poll
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// A connection; dropping it closes it, whatever is under way on it.
+pub struct Line {
+    sender: SendRequest<Full<Bytes>>,
+    written: Rc<Cell<usize>>,
+    _pump: AbortOnDropHandle<()>,
+}
+
+impl Line {
+    pub async fn open(dial: &impl Dial, within: Duration) -> Result<Line, Fault> {
+        let not_sent = |why: &dyn ToString| Fault::NotSent(why.to_string());
+        let stream = match timeout(within, dial.dial()).await {
+            Ok(dialled) => dialled.map_err(|error| not_sent(&error))?,
+            Err(_) => return Err(not_sent(&"the connection did not come up")),
+        };
+        let written = Rc::new(Cell::new(0));
+        let counted = Counted { stream, written: written.clone() };
+        let (sender, pump) =
+            http1::handshake(TokioIo::new(counted)).await.map_err(|error| not_sent(&error))?;
+        // How the connection ended shows in the exchange that it carried.
+        let pump = tokio::task::spawn_local(async move { drop(pump.await) });
+        Ok(Line { sender, written, _pump: AbortOnDropHandle::new(pump) })
+    }
+
+    pub fn stands(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Sends the request and waits for the head of its answer.
+    pub async fn ask(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        within: Duration,
+    ) -> Result<Response<Incoming>, Fault> {
+        let body = hyper::body::Body::size_hint(request.body()).lower() as usize;
+        let before = self.written.get();
+        let answer = timeout(within, self.sender.try_send_request(request)).await;
+        let (unsent, why) = match answer {
+            Ok(Ok(response)) => return Ok(response),
+            Ok(Err(error)) => (error.message().is_some(), error.error().to_string()),
+            Err(_) => (false, "no answer in time".to_string()),
+        };
+        match self.written.get() - before {
+            0 => Err(Fault::NotSent(why)),
+            _ if unsent => Err(Fault::NotSent(why)),
+            written if written < body => Err(Fault::InPart(why)),
+            _ => Err(Fault::Unsure(why)),
+        }
+    }
+
+    /// A whole exchange; the answer's body comes within the same time.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        within: Duration,
+    ) -> Result<(StatusCode, Bytes), Fault> {
+        let until = tokio::time::Instant::now() + within;
+        let response = self.ask(request, within).await?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MOST_BYTES).collect();
+        match tokio::time::timeout_at(until, body).await {
+            Ok(Ok(body)) => Ok((status, body.to_bytes())),
+            Ok(Err(error)) => Err(Fault::Unsure(error.to_string())),
+            Err(_) => Err(Fault::Unsure("the answer did not end in time".into())),
+        }
+    }
+}
+
+pub fn get(path: &str, host: &str) -> Request<Full<Bytes>> {
+    request("GET", path, host, Bytes::new())
+}
+
+pub fn post(path: &str, host: &str, body: Bytes) -> Request<Full<Bytes>> {
+    request("POST", path, host, body)
+}
+
+fn request(method: &str, path: &str, host: &str, body: Bytes) -> Request<Full<Bytes>> {
+    let request = Request::builder().method(method).uri(path).header("host", host);
+    let request = match body.is_empty() {
+        true => request,
+        false => request.header("content-type", "application/json"),
+    };
+    request.body(Full::new(body)).expect("a request of fixed parts is well formed")
+}
--- /dev/null
+++ b/crates/steward/src/lib.rs
@@ -0,0 +1,13 @@
+//! The steward on sockets: adapters round amberarch's decisions, each file with one job.
+
+pub mod config;
+pub mod counters;
+pub mod desk;
+pub mod http;
+pub mod lines;
+pub mod list;
+pub mod listen;
+pub mod news;
+pub mod orders;
+pub mod probe;
+pub mod relay;
--- /dev/null
+++ b/crates/steward/src/list.rs
@@ -0,0 +1,157 @@
+//! Discovery: the watch on the list of hosts, on one connection that is kept.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use slog::{info, Logger};
+use tokio::sync::mpsc;
+
+use crate::counters::Counters;
+use crate::desk::Heard;
+use crate::http::{get, Dial, Fault, Line};
+
+/// The protocol page: what a call brings counts as told 2 s after its wait is over, or after 6 s
+/// where it does not wait.
+const AFTER_WAIT: Duration = Duration::from_secs(2);
+const NO_WAIT: Duration = Duration::from_secs(6);
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub enum Health {
+    InService,
+    Terminating,
+    Terminated,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Row {
+    pub host: String,
+    pub dial: String,
+    pub site: String,
+    #[serde(default)]
+    pub class: String,
+    #[serde(default)]
+    pub block: u32,
+    pub health: Health,
+    #[serde(default)]
+    pub share: f64,
+    #[serde(default)]
+    pub born_ms: f64,
+}
+
+/// The list, or what changed in it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Listing {
+    pub seq: u64,
+    pub whole: bool,
+    pub hosts: Vec<Row>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ask {
+    Watch,
+    Unwatch,
+    Whole,
+}
+
+pub struct Discovery<D> {
+    pub dial: D,
+    pub host: String,
+    pub connect_within: Duration,
+    /// How long a call may wait for news.
+    pub wait: Duration,
+    pub desk: mpsc::Sender<Heard>,
+    pub counters: Rc<Counters>,
+    pub log: Logger,
+}
+
+impl<D: Dial> Discovery<D> {
+    /// Asks as it is told to. A watch goes on call after call, until one fails: when to ask again is
+    /// said from outside. `seq` is the version of the list that the steward started with.
+    pub async fn run(self, mut asks: mpsc::Receiver<Ask>, mut seq: u64) {
+        let mut line = None;
+        let (mut watching, mut first) = (false, false);
+        let mut asked = None;
+        loop {
+            let ask = match asked.take() {
+                Some(ask) => Some(ask),
+                None if watching => None,
+                None => match asks.recv().await {
+                    Some(ask) => Some(ask),
+                    None => return,
+                },
+            };
+            if let Some(ask) = ask {
+                watching = if ask == Ask::Whole { watching } else { ask == Ask::Watch };
+                first = true;
+                if ask == Ask::Unwatch {
+                    continue;
+                }
+            }
+            let whole = ask == Some(Ask::Whole);
+            let answer = tokio::select! {
+                answer = self.fetch(&mut line, (!whole).then_some(seq)) => answer,
+                Some(ask) = asks.recv() => {
+                    // What is under way on the connection is given up with it.
+                    line = None;
+                    asked = Some(ask);
+                    continue;
+                }
+            };
+            match answer {
+                // A version that goes back is another list: only a whole one tells what it holds.
+                Ok(listing) if !listing.whole && listing.seq < seq => {
+                    info!(self.log, "the list's version went back"; "from" => seq, "to" => listing.seq);
+                    asked = Some(Ask::Whole);
+                }
+                Ok(listing) => {
+                    self.counters.list_answers.one();
+                    seq = listing.seq;
+                    // The first answer is told even if it holds nothing: it shows that the watch stands.
+                    if std::mem::take(&mut first) || listing.whole || !listing.hosts.is_empty() {
+                        drop(self.desk.send(Heard::Listed(listing)).await);
+                    }
+                }
+                Err(fault) => {
+                    self.counters.list_failures.one();
+                    info!(self.log, "a call for the list failed"; "how" => %fault);
+                    (line, watching) = (None, false);
+                    drop(self.desk.send(Heard::ListFailed).await);
+                }
+            }
+        }
+    }
+
+    /// One call: for all that is newer than a version, or for the whole list. A connection that was
+    /// closed while it stood idle is dialled anew, once.
+    async fn fetch(&self, line: &mut Option<Line>, after: Option<u64>) -> Result<Listing, Fault> {
+        let (path, within) = match after {
+            Some(seq) => {
+                let wait = self.wait.as_millis();
+                (format!("/v1/servers?after={seq}&wait_ms={wait}"), self.wait + AFTER_WAIT)
+            }
+            None => ("/v1/servers".to_string(), NO_WAIT),
+        };
+        self.counters.list_asks.one();
+        let stood = line.as_ref().is_some_and(Line::stands);
+        if !stood {
+            *line = None;
+            *line = Some(Line::open(&self.dial, self.connect_within).await?);
+        }
+        let mut answer = match line.as_mut() {
+            Some(open) => open.exchange(get(&path, &self.host), within).await,
+            None => Err(Fault::NotSent(String::new())),
+        };
+        if stood && matches!(answer, Err(Fault::NotSent(_))) {
+            *line = None;
+            let open = line.insert(Line::open(&self.dial, self.connect_within).await?);
+            answer = open.exchange(get(&path, &self.host), within).await;
+        }
+        let (status, body) = answer?;
+        if !status.is_success() {
+            return Err(Fault::Unsure(format!("answered with {status}")));
+        }
+        serde_json::from_slice(&body).map_err(|error| Fault::Unsure(error.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/steward/src/main.rs
@@ -0,0 +1,132 @@
+//! Starts the steward's tasks, hears signals, and ends it.
+
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+
+use amberarch_steward::config::{self, Config};
+use amberarch_steward::counters::{Counters, Seldom};
+use amberarch_steward::desk::{Desk, Out};
+use amberarch_steward::http::Tcp;
+use amberarch_steward::list::Discovery;
+use amberarch_steward::listen::{self, Inside};
+use amberarch_steward::news::Follow;
+use amberarch_steward::probe::Prober;
+use amberarch_steward::relay::Relay;
+use slog::{error, info, o, Drain, Logger};
+use slog_async::OverflowStrategy;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{spawn_local, LocalSet};
+
+/// Room in the queues between tasks; who finds one full waits.
+const ROOM: usize = 1_024;
+
+fn main() -> ExitCode {
+    // A log that nobody reads loses lines; it holds nothing up.
+    let plain = slog_term::PlainDecorator::new(std::io::stderr());
+    let drain = slog_term::FullFormat::new(plain).use_utc_timestamp().build().ignore_res();
+    let (drain, guard) = slog_async::Async::new(drain.fuse())
+        .chan_size(ROOM)
+        .overflow_strategy(OverflowStrategy::Drop)
+        .build_with_guard();
+    let log = Logger::root(drain.fuse(), o!());
+    let config = match config::read() {
+        Ok(config) => config,
+        Err(why) => {
+            eprintln!("amberarch: {why}");
+            return ExitCode::from(2);
+        }
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(why) => {
+            eprintln!("amberarch: no runtime: {why}");
+            return ExitCode::from(2);
+        }
+    };
+    let ended = LocalSet::new().block_on(&runtime, serve(config, log.clone()));
+    if let Err(why) = &ended {
+        error!(log, "ends"; "why" => why);
+    }
+    // The log's thread has its last lines to write; one that cannot write them is left behind.
+    let (done, written) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        drop(log);
+        drop(guard);
+        let _ = done.send(());
+    });
+    let _ = written.recv_timeout(Duration::from_millis(100));
+    std::process::exit(if ended.is_ok() { 0 } else { 2 })
+}
+
+fn unix_ms() -> f64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0.0, |since| since.as_secs_f64() * 1e3)
+}
+
+/// Everything that runs, until a signal ends it.
+async fn serve(config: Config, log: Logger) -> Result<(), String> {
+    let Config { name, listen, discovery, relay, sockets, seed, known, given } = config;
+    let log = log.new(o!("steward" => name));
+    let panics = log.clone();
+    std::panic::set_hook(Box::new(move |panic| error!(panics, "panicked"; "what" => %panic)));
+    let io = |why: std::io::Error| why.to_string();
+    let (mut term, mut int) =
+        (signal(SignalKind::terminate()).map_err(io)?, signal(SignalKind::interrupt()).map_err(io)?);
+    let mut usr1 = signal(SignalKind::user_defined1()).map_err(io)?;
+    let listener = TcpListener::bind(listen).await.map_err(|why| format!("{listen}: {why}"))?;
+
+    let counters = Rc::new(Counters::default());
+    let connect_within = Duration::from_secs_f64(given.connect_within()? / 1e3);
+    // A steward that has not asked for so long counts as told; half of that leaves time to ask again.
+    let wait = Duration::from_secs_f64(given.ask_within()? / 2e3);
+    let path = if given.load_reports()? { "/load" } else { "/healthz" };
+    let seq = known.seq;
+    let (desk, heard) = mpsc::channel(ROOM);
+    let (to_relay, replies) = mpsc::channel(ROOM);
+    let (to_list, asks) = mpsc::channel(ROOM);
+    let (to_probes, probes) = mpsc::channel(ROOM);
+    let (to_ready, ready) = watch::channel(false);
+    let out = Out { relay: to_relay, list: to_list, probes: to_probes, ready: to_ready };
+    let the_desk = Desk::new(given, seed, known, unix_ms, out, counters.clone(), log.clone())?;
+
+    let of = |desk: &mpsc::Sender<_>| (desk.clone(), counters.clone(), log.clone());
+    let (to_desk, counts, logs) = of(&desk);
+    let host = relay.to_string();
+    let calls = Relay { dial: Tcp(relay), host, connect_within, desk: to_desk, counters: counts, log: logs };
+    let (to_desk, counts, logs) = of(&desk);
+    let host = relay.to_string();
+    let news = Follow { dial: Tcp(relay), host, connect_within, desk: to_desk, counters: counts, log: logs };
+    let (to_desk, counts, logs) = of(&desk);
+    let (dial, host) = (Tcp(discovery), discovery.to_string());
+    let list = Discovery { dial, host, connect_within, wait, desk: to_desk, counters: counts, log: logs };
+    let (to_desk, counts, logs) = of(&desk);
+    let prober = Prober { path, connect_within, desk: to_desk, counters: counts, log: logs };
+    let skipped = Rc::new(Seldom::default());
+    let inside = Inside { desk, ready, counters: counters.clone(), skipped, log: log.clone() };
+
+    info!(log, "started"; "listen" => %listen, "relay" => %relay, "discovery" => %discovery);
+    let mut parts = tokio::task::JoinSet::new();
+    parts.spawn_local(the_desk.run(heard));
+    parts.spawn_local(calls.run(replies));
+    parts.spawn_local(news.run());
+    parts.spawn_local(list.run(asks, seq));
+    parts.spawn_local(prober.run(probes));
+    parts.spawn_local(listen::run(listener, sockets / 2, inside));
+    let shown = counters.clone();
+    let usr1_log = log.clone();
+    spawn_local(async move {
+        while usr1.recv().await.is_some() {
+            info!(usr1_log, "counters: {}", shown);
+        }
+    });
+    let ended = tokio::select! {
+        _ = term.recv() => Ok(()),
+        _ = int.recv() => Ok(()),
+        part = parts.join_next() => Err(format!("a part ended: {part:?}")),
+    };
+    info!(log, "counters: {}", counters);
+    ended
+}
--- /dev/null
+++ b/crates/steward/src/news.rs
@@ -0,0 +1,175 @@
+//! The relay's watch: who is joined, who left, what was applied.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::StatusCode;
+use serde::Deserialize;
+use slog::{info, warn, Logger};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+use crate::counters::{Counters, Seldom};
+use crate::desk::Heard;
+use crate::http::{get, Dial, Fault, Line};
+
+/// The protocol page: every second a sign of life comes; times are 300 ms longer on sockets.
+const SIGN_OF_LIFE: Duration = Duration::from_millis(1_300);
+/// The protocol page: either an answer comes within 50 ms or it never comes; what stands comes first, so as
+/// long a silence ends it.
+const ANSWER: Duration = Duration::from_millis(50);
+/// The protocol page: a message holds at most 1 MiB.
+const MOST_BYTES: usize = 1 << 20;
+
+#[derive(Debug, Deserialize)]
+#[serde(tag = "type", content = "object")]
+pub enum News {
+    #[serde(rename = "SUBSCRIBE")]
+    Joined { proxy: u16, zone: String, weight: f64, fresh: bool },
+    #[serde(rename = "CLOSED")]
+    Left { proxy: u16 },
+    #[serde(rename = "ACK")]
+    Applied { proxy: u16, mark: u16, took_ms: f64 },
+}
+
+/// A watch that stands.
+struct Watch {
+    body: Incoming,
+    unread: BytesMut,
+    _line: Line,
+}
+
+impl Watch {
+    /// The next line. What has come stays if this is dropped half-way.
+    async fn line(&mut self) -> Result<BytesMut, String> {
+        loop {
+            if let Some(end) = self.unread.iter().position(|byte| *byte == b'\n') {
+                return Ok(self.unread.split_to(end + 1));
+            }
+            if self.unread.len() > MOST_BYTES {
+                return Err("a line over 1 MiB".into());
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => self.unread.extend(frame.into_data()),
+                Some(Err(error)) => return Err(error.to_string()),
+                None => return Err("the news ended".into()),
+            }
+        }
+    }
+}
+
+pub struct Follow<D> {
+    pub dial: D,
+    pub host: String,
+    pub connect_within: Duration,
+    pub desk: mpsc::Sender<Heard>,
+    pub counters: Rc<Counters>,
+    pub log: Logger,
+}
+
+impl<D: Dial> Follow<D> {
+    pub async fn run(self) {
+        let seldom = Seldom::default();
+        let mut watch = self.dial_until_up(&seldom).await;
+        loop {
+            self.stands(&mut watch).await;
+            let why = self.follow(&mut watch, &seldom).await;
+            watch = match why {
+                Next::Other(other) => other,
+                Next::Broken(why) => {
+                    info!(self.log, "the news broke off"; "why" => why);
+                    drop(watch);
+                    self.dial_until_up(&seldom).await
+                }
+            };
+        }
+    }
+
+    /// What stands comes first and has no end of its own: a silence ends it, or a sign of life.
+    async fn stands(&self, watch: &mut Watch) {
+        self.tell(Heard::Standing).await;
+        while let Ok(Ok(line)) = timeout(ANSWER, watch.line()).await {
+            if !self.pass_on(&line).await {
+                break;
+            }
+        }
+        self.tell(Heard::Stood).await;
+    }
+
+    /// Passes news on until it breaks, or until it fell silent and another watch stands beside it.
+    async fn follow(&self, watch: &mut Watch, seldom: &Seldom) -> Next {
+        loop {
+            let line = match timeout(SIGN_OF_LIFE, watch.line()).await {
+                Ok(line) => line,
+                Err(_) => {
+                    info!(self.log, "the news is silent, dialling beside it");
+                    tokio::select! {
+                        biased;
+                        line = watch.line() => line,
+                        other = self.dial_until_up(seldom) => return Next::Other(other),
+                    }
+                }
+            };
+            match line {
+                Ok(line) => {
+                    self.pass_on(&line).await;
+                }
+                Err(why) => return Next::Broken(why),
+            }
+        }
+    }
+
+    /// False where the line was a sign of life.
+    async fn pass_on(&self, line: &[u8]) -> bool {
+        if line.trim_ascii() == b"{}" {
+            self.counters.signs.one();
+            return false;
+        }
+        self.counters.news_lines.one();
+        match serde_json::from_slice(line) {
+            Ok(news) => self.tell(Heard::News(news)).await,
+            Err(error) => {
+                self.counters.news_skipped.one();
+                warn!(self.log, "skipped news"; "why" => %error);
+            }
+        }
+        true
+    }
+
+    async fn tell(&self, heard: Heard) {
+        // The desk goes last; without it there is nobody to tell.
+        drop(self.desk.send(heard).await);
+    }
+
+    async fn dial_until_up(&self, seldom: &Seldom) -> Watch {
+        loop {
+            match self.open().await {
+                Ok(watch) => return watch,
+                Err(fault) => {
+                    if let Some(hidden) = seldom.pass() {
+                        info!(self.log, "no news yet"; "why" => %fault, "hidden" => hidden);
+                    }
+                    sleep(ANSWER).await;
+                }
+            }
+        }
+    }
+
+    async fn open(&self) -> Result<Watch, Fault> {
+        let mut line = Line::open(&self.dial, self.connect_within).await?;
+        let answer = line.ask(get("/watch", &self.host), SIGN_OF_LIFE).await?;
+        if answer.status() != StatusCode::OK {
+            return Err(Fault::Unsure(format!("the watch was answered with {}", answer.status())));
+        }
+        self.counters.watches.one();
+        Ok(Watch { body: answer.into_body(), unread: BytesMut::new(), _line: line })
+    }
+}
+
+enum Next {
+    Other(Watch),
+    Broken(String),
+}
--- /dev/null
+++ b/crates/steward/src/probe.rs
@@ -0,0 +1,89 @@
+//! Probes: one light request to a host each, on a connection of its own.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use amberarch_core::{HostId, LoadReport, Outcome};
+use hyper::StatusCode;
+use serde_json::Value;
+use slog::{debug, Logger};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::counters::Counters;
+use crate::desk::Heard;
+use crate::http::{get, Dial, Fault, Line, Tcp};
+
+/// The design page: a probe has 0.3 s to be answered.
+const ANSWER: Duration = Duration::from_millis(300);
+
+pub struct Probe {
+    pub host: HostId,
+    pub to: SocketAddr,
+}
+
+#[derive(Clone)]
+pub struct Prober {
+    pub path: &'static str,
+    pub connect_within: Duration,
+    pub desk: mpsc::Sender<Heard>,
+    pub counters: Rc<Counters>,
+    pub log: Logger,
+}
+
+impl Prober {
+    pub async fn run(self, mut probes: mpsc::Receiver<Probe>) {
+        while let Some(Probe { host, to }) = probes.recv().await {
+            let prober = self.clone();
+            // Each ends by itself within its time limits, so few are under way at once.
+            tokio::task::spawn_local(async move {
+                let sent = Instant::now();
+                let (outcome, report) = prober.probe(&Tcp(to)).await;
+                let took = sent.elapsed().as_secs_f64() * 1e3;
+                drop(prober.desk.send(Heard::Probed { host, outcome, took, report }).await);
+            });
+        }
+    }
+
+    pub async fn probe(&self, dial: &impl Dial) -> (Outcome, LoadReport) {
+        self.counters.probes.one();
+        let found = self.ask(dial).await;
+        match found.0 {
+            Outcome::Answered => self.counters.probes_passed.one(),
+            _ => self.counters.probes_failed.one(),
+        }
+        found
+    }
+
+    async fn ask(&self, dial: &impl Dial) -> (Outcome, LoadReport) {
+        let none = LoadReport::default();
+        let mut line = match Line::open(dial, self.connect_within).await {
+            Ok(line) => line,
+            Err(_) => return (Outcome::Unreachable, none),
+        };
+        let sent = Instant::now();
+        let (status, body) = match line.exchange(get(self.path, "host"), ANSWER).await {
+            Ok(answer) => answer,
+            Err(_) if sent.elapsed() >= ANSWER => return (Outcome::TimedOut, none),
+            Err(Fault::NotSent(_) | Fault::InPart(_) | Fault::Unsure(_)) => return (Outcome::Reset, none),
+        };
+        debug!(self.log, "probed"; "status" => %status);
+        match status {
+            StatusCode::OK => (Outcome::Answered, report(&body)),
+            _ => (Outcome::Errored, none),
+        }
+    }
+}
+
+/// What a host says of its load; what can't be read is not said.
+fn report(body: &[u8]) -> LoadReport {
+    let said: Value = serde_json::from_slice(body).unwrap_or_default();
+    let part = |name: &str| said.get(name).and_then(Value::as_f64);
+    LoadReport {
+        in_hand: part("inflight"),
+        waiting: part("queue"),
+        busy: part("util"),
+        service: part("latency_ms"),
+    }
+}
--- a/crates/wirehost/src/events.rs
+++ b/crates/wirehost/src/events.rs
@@ -1,35 +1,10 @@
 //! Lines of a batch as events.
 
-use std::collections::HashMap;
-
 use amberarch_core::*;
+use amberarch_facts::{Given, Names};
 use base64::prelude::{Engine, BASE64_STANDARD};
 
 use crate::fields::Fields;
-use crate::settings;
-
-/// An instance's own numbering of the hosts it has heard of.
-#[derive(Default)]
-pub struct Names {
-    ids: HashMap<String, HostId>,
-    names: Vec<String>,
-}
-
-impl Names {
-    pub fn id(&mut self, name: &str) -> HostId {
-        if let Some(id) = self.ids.get(name) {
-            return *id;
-        }
-        let id = HostId(self.names.len() as u32);
-        self.ids.insert(name.to_string(), id);
-        self.names.push(name.to_string());
-        id
-    }
-
-    pub fn name(&self, host: HostId) -> &str {
-        &self.names[host.0 as usize]
-    }
-}
 
 pub enum Line {
     End,
@@ -72,8 +47,8 @@
     match word {
         "ENLIST" => {
             let seed = f.number("randomSeed")?;
-            let steward = settings::steward(seed, f.remaining())?;
-            return Ok(Line::Enlist { who, steward });
+            let steward = Given::from_pairs(f.remaining())?.steward(seed)?;
+            return Ok(Line::Enlist { who, steward: Box::new(steward) });
         }
         "DESTROY" => return Ok(Line::Destroy { who }),
         _ => {}
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -6,7 +6,6 @@
 mod events;
 mod fields;
 mod orders;
-mod settings;
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -14,7 +13,8 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
 use amberarch_core::{Decide, Event};
-use events::{Line, Names};
+use amberarch_facts::Names;
+use events::Line;
 use fields::Fields;
 
 /// Why serving ended before the end of input.
--- a/crates/wirehost/src/orders.rs
+++ b/crates/wirehost/src/orders.rs
@@ -3,10 +3,9 @@
 use std::fmt::Write;
 
 use amberarch_core::{Order, Tries};
+use amberarch_facts::Names;
 use base64::prelude::{Engine, BASE64_STANDARD};
 
-use crate::events::Names;
-
 pub fn write(who: u64, order: &Order, names: &Names, out: &mut String) {
     let written = match order {
         Order::Share { tbl, host, weight } => {
