--- a/crates/steward/src/http.rs
+++ b/crates/steward/src/http.rs
@@ -17,12 +17,23 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 use tokio_util::task::AbortOnDropHandle;
 
 /// An answer is read up to this size: far over the list of the largest fleet.
 const MOST_BYTES: usize = 8 << 20;
 
+/// Waits for something within a time. Guards against a steward that stood still itself: then the time is
+/// over before what came meanwhile has been looked at, so a last look follows.
+pub async fn limited<T>(within: Duration, what: impl Future<Output = T>) -> Option<T> {
+    const LAST_LOOK: Duration = Duration::from_millis(5);
+    let mut what = std::pin::pin!(what);
+    match timeout(within, &mut what).await {
+        Ok(done) => Some(done),
+        Err(_) => timeout(LAST_LOOK, what).await.ok(),
+    }
+}
+
 /// How far an attempt came.
 #[derive(Debug, thiserror::Error)]
 pub enum Fault {
@@ -94,10 +105,9 @@
 impl Line {
     pub async fn open(dial: &impl Dial, within: Duration) -> Result<Line, Fault> {
         let not_sent = |why: &dyn ToString| Fault::NotSent(why.to_string());
-        let stream = match timeout(within, dial.dial()).await {
-            Ok(dialled) => dialled.map_err(|error| not_sent(&error))?,
-            Err(_) => return Err(not_sent(&"the connection did not come up")),
-        };
+        let dialled = limited(within, dial.dial()).await;
+        let dialled = dialled.ok_or_else(|| not_sent(&"the connection did not come up"))?;
+        let stream = dialled.map_err(|error| not_sent(&error))?;
         let written = Rc::new(Cell::new(0));
         let counted = Counted { stream, written: written.clone() };
         let (sender, pump) =
@@ -128,10 +138,10 @@
                 Err(error) => Err((true, error.to_string())),
             }
         };
-        let (unsent, why) = match timeout(within, sent).await {
-            Ok(Ok(response)) => return Ok(response),
-            Ok(Err(fault)) => fault,
-            Err(_) => (false, "no answer in time".to_string()),
+        let (unsent, why) = match limited(within, sent).await {
+            Some(Ok(response)) => return Ok(response),
+            Some(Err(fault)) => fault,
+            None => (false, "no answer in time".to_string()),
         };
         match self.written.get() - before {
             0 => Err(Fault::NotSent(why)),
@@ -147,14 +157,14 @@
         request: Request<Full<Bytes>>,
         within: Duration,
     ) -> Result<(StatusCode, Bytes), Fault> {
-        let until = tokio::time::Instant::now() + within;
+        let until = Instant::now() + within;
         let response = self.ask(request, within).await?;
         let status = response.status();
         let body = Limited::new(response.into_body(), MOST_BYTES).collect();
-        match tokio::time::timeout_at(until, body).await {
-            Ok(Ok(body)) => Ok((status, body.to_bytes())),
-            Ok(Err(error)) => Err(Fault::Unsure(error.to_string())),
-            Err(_) => Err(Fault::Unsure("the answer did not end in time".into())),
+        match limited(until - Instant::now(), body).await {
+            Some(Ok(body)) => Ok((status, body.to_bytes())),
+            Some(Err(error)) => Err(Fault::Unsure(error.to_string())),
+            None => Err(Fault::Unsure("the answer did not end in time".into())),
         }
     }
 }
--- a/crates/steward/src/news.rs
+++ b/crates/steward/src/news.rs
@@ -17,9 +17,11 @@
 
 /// The protocol page: every second a sign of life comes; times are 300 ms longer on sockets.
 const SIGN_OF_LIFE: Duration = Duration::from_millis(1_300);
-/// The protocol page: an answer comes within 50 ms or never. What stands comes first, so as long a
-/// silence ends it; between attempts as long is waited.
+/// The protocol page: an answer comes within 50 ms or never; between attempts as long is waited.
 const ANSWER: Duration = Duration::from_millis(50);
+/// The protocol page: on sockets times are 300 ms longer, and bytes come in pieces. As long a silence ends
+/// what stands.
+const PIECES: Duration = Duration::from_millis(300);
 /// The protocol page: a message holds at most 1 MiB.
 const MOST_BYTES: usize = 1 << 20;
 
@@ -92,7 +94,7 @@
 
     /// What stands comes first and has no end of its own: a silence ends it, or a sign of life.
     async fn stands(&self, watch: &mut Watch) -> Instant {
-        while let Ok(Ok(line)) = timeout(ANSWER, watch.line()).await {
+        while let Ok(Ok(line)) = timeout(PIECES, watch.line()).await {
             if !self.pass_on(&line).await {
                 break;
             }
