--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -1,6 +1,6 @@
 //! A toy deployment to try the steward with: discovery, a relay with four proxies, four hosts and a
 //! collector, all on loopback and at the addresses of `config.json` beside this file. It prints the
-//! orders that come. From 8 s to 16 s after the start one host answers no probe well.
+//! orders that come. From 8 s to 16 s after the start one host fails its probes and its txns.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -118,16 +118,20 @@
     full(json!({"taken": orders.len()}))
 }
 
+fn fails(number: usize, start: Instant) -> bool {
+    number == 3 && (8..16).contains(&start.elapsed().as_secs())
+}
+
 async fn health(number: usize, start: Instant) -> Response<Body> {
     let mut answer = full(Value::Null);
-    if number == 3 && (8..16).contains(&start.elapsed().as_secs()) {
+    if fails(number, start) {
         *answer.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
     }
     answer
 }
 
 /// Waits until the steward answers, then passes sums on.
-async fn collector() -> std::io::Result<()> {
+async fn collector(start: Instant) -> std::io::Result<()> {
     let mut stream = loop {
         match TcpStream::connect(STEWARD).await {
             Ok(stream) => break stream,
@@ -142,8 +146,9 @@
         stream.write_all(b"SOURCE zone=east\r\n").await?;
         for number in 0..4 {
             let zone = ZONES[number % 2];
+            let failed = if fails(number, start) { 20 } else { 0 };
             let sums = format!(
-                "LOAD zone={zone} server=s-{number} tries=20 failed=0 mean_ms=180.0 span_ms=2000.0\r\n\
+                "LOAD zone={zone} server=s-{number} tries=20 failed={failed} mean_ms=180.0 span_ms=2000.0\r\n\
                  RATE proxy={number} class=look tries=20 failed=0 span_ms=2000.0\r\n"
             );
             stream.write_all(sums.as_bytes()).await?;
@@ -160,9 +165,9 @@
         let address: SocketAddr = ([127, 0, 0, 1], 3100 + number as u16).into();
         tokio::spawn(serve(address.to_string(), move |_| health(number, start)));
     }
-    tokio::spawn(async {
+    tokio::spawn(async move {
         // A steward that ends takes its connection along; the next one is found anew.
-        while let Err(why) = collector().await {
+        while let Err(why) = collector(start).await {
             println!("the steward is gone: {why}");
             sleep(Duration::from_secs(1)).await;
         }
