--- a/crates/steward/tests/steward/desk.rs
+++ b/crates/steward/tests/steward/desk.rs
@@ -77,6 +77,7 @@
         tokio::task::spawn_local(async move {
             loop {
                 tokio::select! {
+                    biased;
                     Some(reply) = replies.recv() => {
                         let orders: Vec<_> = reply.orders.iter().map(|o| String::from_utf8_lossy(o).into_owned()).collect();
                         seen.note(&format!("reply {:?}\n{}", reply.mark, orders.join("\n")));
@@ -116,9 +117,6 @@
         0 seed 5: List { news: Restored, entries: [Listed { host: HostId(0), weight: 1.0, zone: ZoneId(0), pod: PodId(3), kind: KindId(1), born: None, standing: On }] }
         100 seed 5: Joined { proxy: ProxyId(1), zone: ZoneId(1), txns_per_s: 2.0, fresh: true }
         200 seed 5: List { news: Changes, entries: [Listed { host: HostId(1), weight: 1.0, zone: ZoneId(1), pod: PodId(3), kind: KindId(1), born: Some(-3800.0), standing: On }, Listed { host: HostId(2), weight: 1.0, zone: ZoneId(1), pod: PodId(3), kind: KindId(1), born: None, standing: Gone }] }
-        200 probe HostId(0) at 127.0.0.2:3000
-        200 ask Watch
-        200 probe HostId(1) at 127.0.0.4:3000
         200 reply Some(MarkId(905))
         {"op":"share","server":"s-0","table":4,"weight":1.5}
         {"op":"withdraw","server":"s-0"}
@@ -129,6 +127,9 @@
         {"admit":0.9,"op":"admit","policy":1,"routes":["write"],"table":4}
         {"admit":1.0,"op":"admit","policy":0}
         {"nonce_out":905,"on":1,"op":"mark"}
+        200 ask Watch
+        200 probe HostId(0) at 127.0.0.2:3000
+        200 probe HostId(1) at 127.0.0.4:3000
         1701 seed 5: Due { timer: TimerId(7) }
         1701 seed 6: List { news: Restored, entries: [Listed { host: HostId(0), weight: 1.0, zone: ZoneId(0), pod: PodId(3), kind: KindId(1), born: None, standing: On }, Listed { host: HostId(1), weight: 1.0, zone: ZoneId(1), pod: PodId(3), kind: KindId(1), born: Some(-3800.0), standing: On }, Listed { host: HostId(2), weight: 1.0, zone: ZoneId(1), pod: PodId(3), kind: KindId(1), born: None, standing: Gone }] }
         1701 seed 6: Joined { proxy: ProxyId(1), zone: ZoneId(1), txns_per_s: 2.0, fresh: false }
