A host listed again with the same start is no new start; log lines all bounded

desk.rs entry() turned a host's start into the module's time each time it was listed; two clocks read anew differ by a fraction of a millisecond, so a whole list made every host with a known start look as if it had started once more and cleared its gate and sums. Seen by reading, shown by a trace. Other log lines that a peer can provoke now come once a second at the most.

--- a/crates/steward/src/counters.rs
+++ b/crates/steward/src/counters.rs
@@ -13,8 +13,8 @@
 
         impl fmt::Display for Counters {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                $(write!(f, concat!(stringify!($name), "={} "), self.$name.0.get())?;)*
-                Ok(())
+                let counts = [$(format!(concat!(stringify!($name), "={}"), self.$name.0.get())),*];
+                f.write_str(&counts.join(" "))
             }
         }
     };
--- a/crates/steward/src/desk.rs
+++ b/crates/steward/src/desk.rs
@@ -10,7 +10,6 @@
 
 use amberarch_core::*;
 use amberarch_facts::Names;
-use bytes::Bytes;
 use slog::{error, info, warn, Logger};
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, Instant};
@@ -75,6 +74,14 @@
 /// Makes the decisions anew, from the start facts and a seed.
 pub type Make = Box<dyn Fn(u64) -> Box<dyn Decide>>;
 
+/// A host as it was listed last.
+struct Known {
+    listed: Listed,
+    /// Its last start in Unix time.
+    born_ms: f64,
+    dial: Option<SocketAddr>,
+}
+
 #[derive(Clone, Copy)]
 struct Joined {
     zone: ZoneId,
@@ -87,7 +94,7 @@
     steward: Box<dyn Decide>,
     labels: Labels,
     names: Names,
-    hosts: BTreeMap<HostId, (Listed, Option<SocketAddr>)>,
+    hosts: BTreeMap<HostId, Known>,
     joined: BTreeMap<ProxyId, Joined>,
     /// While what stands is read: who was joined and has not been named yet.
     unseen: Option<BTreeSet<ProxyId>>,
@@ -195,9 +202,7 @@
                 Ok(event) => self.events.push(event),
                 Err(why) => {
                     self.counters.lines_skipped.one();
-                    if let Some(hidden) = self.skipped.pass() {
-                        warn!(self.log, "skipped a sum"; "why" => why, "hidden" => hidden);
-                    }
+                    self.skip(why);
                 }
             },
             Heard::Standing { anew } => {
@@ -214,8 +219,7 @@
                     place(&self.labels.zones, &zone).filter(|_| u32::from(proxy) < self.labels.proxies);
                 let Some(zone) = zone.map(ZoneId) else {
                     self.counters.news_skipped.one();
-                    warn!(self.log, "a proxy that is not known joined"; "proxy" => proxy);
-                    return;
+                    return self.skip("a proxy that is not known, or of such a zone".into());
                 };
                 // In what stands, one that is known goes on; one that holds no ordered table came anew.
                 let proxy = ProxyId(proxy);
@@ -254,6 +258,12 @@
         }
     }
 
+    fn skip(&self, what: String) {
+        if let Some(hidden) = self.skipped.pass() {
+            warn!(self.log, "skipped"; "what" => what, "hidden" => hidden);
+        }
+    }
+
     fn left(&mut self, proxy: ProxyId) {
         if self.joined.remove(&proxy).is_some() {
             self.counters.left.one();
@@ -290,16 +300,17 @@
 
     fn listed(&mut self, listing: Listing, news: ListNews) {
         if listing.whole {
-            self.hosts.values_mut().for_each(|(listed, _)| listed.standing = Standing::Gone);
+            self.hosts.values_mut().for_each(|known| known.listed.standing = Standing::Gone);
         }
         let mut entries = Vec::with_capacity(listing.hosts.len());
         for row in &listing.hosts {
             let Some(entry) = self.entry(row) else {
                 self.counters.list_skipped.one();
-                warn!(self.log, "skipped a host of a zone that is not known"; "zone" => &row.site);
+                self.skip("a host of a zone that is not known".into());
                 continue;
             };
-            self.hosts.insert(entry.host, (entry.clone(), row.dial.parse().ok()));
+            let known = Known { listed: entry.clone(), born_ms: row.born_ms, dial: row.dial.parse().ok() };
+            self.hosts.insert(entry.host, known);
             entries.push(entry);
         }
         info!(self.log, "the list"; "seq" => listing.seq, "how" => ?news, "entries" => entries.len());
@@ -309,15 +320,20 @@
     fn entry(&mut self, row: &Row) -> Option<Listed> {
         let zone = ZoneId(place(&self.labels.zones, &row.site)?);
         let kind = place(&self.labels.kinds, &row.class).unwrap_or(self.labels.kinds.len() as u16);
-        // One clock is read by all machines; here its times become the module's.
-        let age = (self.unix)() - row.born_ms;
+        let host = self.names.id(&row.host);
+        // One clock is read by all machines; here its times become the module's. Once for each start:
+        // two clocks read twice differ by a little, and a later time would be one more start.
+        let same = self.hosts.get(&host).filter(|known| known.born_ms == row.born_ms);
+        let age = || (self.unix)() - row.born_ms;
+        let born =
+            same.map_or_else(|| (row.born_ms > 0.0).then(|| self.now() - age()), |known| known.listed.born);
         Some(Listed {
-            host: self.names.id(&row.host),
+            host,
             weight: row.share,
             zone,
             pod: PodId(row.block),
             kind: KindId(kind),
-            born: (row.born_ms > 0.0).then(|| self.now() - age),
+            born,
             standing: match row.health {
                 Health::InService => Standing::On,
                 Health::Terminating => Standing::Draining,
@@ -353,7 +369,7 @@
         self.seed = self.seed.wrapping_add(1);
         self.steward = (self.make)(self.seed);
         self.timers.clear();
-        let entries = self.hosts.values().map(|(listed, _)| listed.clone()).collect();
+        let entries = self.hosts.values().map(|known| known.listed.clone()).collect();
         self.events.push(Event::List { news: ListNews::Restored, entries });
         for (proxy, Joined { zone, txns_per_s }) in &self.joined {
             let (proxy, zone, txns_per_s) = (*proxy, *zone, *txns_per_s);
@@ -362,13 +378,15 @@
     }
 
     fn hand_out(&mut self, decided: Vec<Order>) {
+        /// The wire page: 71 minutes at most.
+        const LONGEST_TIMER: Duration = Duration::from_secs(71 * 60);
         let (mut calls, mut mark) = (Vec::new(), None);
         for order in &decided {
             self.counters.orders.one();
             match order {
                 Order::Timer { after, timer } => {
-                    let at = Instant::now() + Duration::from_secs_f64(after.max(0.0) / 1e3);
-                    self.timers.push(Reverse((at, *timer)));
+                    let after = Duration::try_from_secs_f64(after / 1e3).unwrap_or_default();
+                    self.timers.push(Reverse((Instant::now() + after.min(LONGEST_TIMER), *timer)));
                 }
                 Order::Probe { host } => self.probe(*host),
                 Order::Watch { on } => self.ask(if *on { Ask::Watch } else { Ask::Unwatch }),
@@ -382,29 +400,26 @@
                         Order::Withdraw { host, out: false } => drop(self.shut_out.remove(host)),
                         _ => {}
                     }
-                    calls.push(self.encoded(order));
+                    calls.push(order);
                 }
             }
         }
         if !calls.is_empty() {
-            let let_in = std::mem::take(&mut self.let_in);
-            let ahead = let_in.into_iter().map(|host| Order::Withdraw { host, out: false });
-            let calls =
-                ahead.map(|order| self.encoded(&order)).chain(calls.iter().cloned()).flatten().collect();
+            let let_in = std::mem::take(&mut self.let_in).into_iter();
+            let ahead: Vec<Order> = let_in.map(|host| Order::Withdraw { host, out: false }).collect();
+            let name = |host| self.names.name(host).to_string();
+            let encoded = |order| orders::encode(order, name, &self.labels.products);
+            let orders = ahead.iter().chain(calls).filter_map(encoded).collect();
             self.counters.replies.one();
             // The module's own count of what waits bounds this queue far below its size. The desk waits
             // for nobody: should it be full all the same, what is lost is made good by starting anew.
-            if self.out.relay.try_send(Reply { orders: calls, mark }).is_err() {
+            if self.out.relay.try_send(Reply { orders, mark }).is_err() {
                 error!(self.log, "the relay's queue is full; the decisions start anew");
                 self.start_anew();
             }
         }
     }
 
-    fn encoded(&self, order: &Order) -> Option<Bytes> {
-        orders::encode(order, |host| self.names.name(host).to_string(), &self.labels.products)
-    }
-
     fn ask(&mut self, ask: Ask) {
         if self.out.list.try_send(ask).is_err() {
             self.events.push(Event::List { news: ListNews::Failed, entries: vec![] });
@@ -412,7 +427,7 @@
     }
 
     fn probe(&mut self, host: HostId) {
-        let to = self.hosts.get(&host).and_then(|(_, dial)| *dial);
+        let to = self.hosts.get(&host).and_then(|known| known.dial);
         let sent = to.is_some_and(|to| self.out.probes.try_send(Probe { host, to }).is_ok());
         if !sent {
             let (outcome, report) = (Outcome::Unknown, LoadReport::default());
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -97,7 +97,14 @@
     let line = |to| Kept::new(Tcp(to), connect_within);
     let calls = Relay { line: line(relay), host: relay.to_string(), ties: ties.clone() };
     let (dial, host) = (Tcp(relay), relay.to_string());
-    let news = Follow { dial, host, connect_within, ready: to_ready, ties: ties.clone() };
+    let news = Follow {
+        dial,
+        host,
+        connect_within,
+        ready: to_ready,
+        skipped: Seldom::default(),
+        ties: ties.clone(),
+    };
     let host = discovery.to_string();
     let list = Discovery { line: line(discovery), host, wait, ties: ties.clone() };
     // A quarter of the descriptors for probes, half for those who connect.
--- a/crates/steward/src/news.rs
+++ b/crates/steward/src/news.rs
@@ -69,6 +69,7 @@
     pub ties: Ties,
     /// Says that the steward can serve: orders reach proxies, and who joins is heard.
     pub ready: watch::Sender<bool>,
+    pub skipped: Seldom,
 }
 
 impl<D: Dial> Follow<D> {
@@ -137,7 +138,9 @@
             Ok(news) => self.tell(Heard::News(news)).await,
             Err(error) => {
                 self.ties.counters.news_skipped.one();
-                warn!(self.ties.log, "skipped news"; "why" => %error);
+                if let Some(hidden) = self.skipped.pass() {
+                    warn!(self.ties.log, "skipped news"; "why" => %error, "hidden" => hidden);
+                }
             }
         }
         true
--- a/crates/steward/src/orders.rs
+++ b/crates/steward/src/orders.rs
@@ -1,15 +1,11 @@
 //! Orders as the relay reads them.
 
-use amberarch_core::{Order, Products, TblId, Tries};
+use amberarch_core::{HostId, Order, Products, TblId, Tries};
 use bytes::Bytes;
 use serde_json::json;
 
 /// One order as JSON; `None` for what does not go to the relay.
-pub fn encode(
-    order: &Order,
-    host: impl Fn(amberarch_core::HostId) -> String,
-    products: &[String],
-) -> Option<Bytes> {
+pub fn encode(order: &Order, host: impl Fn(HostId) -> String, products: &[String]) -> Option<Bytes> {
     let routes = |mask: Products| -> Vec<&str> {
         let named = products.iter().enumerate().filter(|(place, _)| mask.0 & (1 << place) != 0);
         named.map(|(_, name)| name.as_str()).collect()
--- a/crates/steward/src/relay.rs
+++ b/crates/steward/src/relay.rs
@@ -82,12 +82,12 @@
                 match fault {
                     CallFault::RefusedAfter(taken) => {
                         self.ties.counters.calls_refused.one();
-                        self.skip(waiting.drain(..=taken).next_back());
+                        self.skip(waiting.drain(..=taken).next_back(), 1);
                         self.again(&marks, !waiting.is_empty()).await;
                     }
                     CallFault::Refused(_) => {
                         self.ties.counters.calls_refused.one();
-                        waiting.drain(..count).for_each(|order| self.skip(Some(order)));
+                        self.skip(waiting.drain(..count).next(), count);
                     }
                     CallFault::Busy => {
                         self.ties.counters.calls_busy.one();
@@ -117,10 +117,10 @@
         }
     }
 
-    fn skip(&self, order: Option<Bytes>) {
-        self.ties.counters.orders_skipped.one();
-        let order = order.map(|order| String::from_utf8_lossy(&order).into_owned());
-        warn!(self.ties.log, "the relay did not take an order"; "order" => order);
+    fn skip(&self, first: Option<Bytes>, count: usize) {
+        self.ties.counters.orders_skipped.more(count);
+        let first = first.map(|order| String::from_utf8_lossy(&order).into_owned());
+        warn!(self.ties.log, "the relay did not take orders"; "count" => count, "first" => first);
     }
 
     /// One call with the first orders that wait.
--- a/crates/steward/tests/steward/desk.rs
+++ b/crates/steward/tests/steward/desk.rs
@@ -211,3 +211,25 @@
         0 seed 5: Came { proxy: ProxyId(1), product: ProductId(1), txns: 3, voided: 1, over: 1000.0 }
     "#]].assert_eq(&told(sums.map(|sum| (0, Heard::Sum(sum))).into()));
 }
+
+/// Guards against a host that is listed again passing for one that started again: its start keeps the time it
+/// was given on the module's clock, until the list tells of another.
+#[test]
+fn a_start_that_is_listed_again_is_no_new_start() {
+    let listing = |seq, born_ms| {
+        let hosts = vec![row("s-1", "127.0.0.4:3000", "b", Health::InService, born_ms)];
+        Heard::Listed(Listing { seq, whole: true, hosts })
+    };
+    let trace = told(vec![
+        (200, listing(42, 1e12 - 4_000.0)),
+        (300, listing(43, 1e12 - 4_000.0)),
+        (400, listing(44, 1e12 - 1_000.0)),
+    ]);
+    let born = trace.lines().filter(|line| line.contains("Whole"));
+    let born: Vec<&str> = born.filter_map(|line| line.split("born: ").nth(1)).collect();
+    expect![[r#"
+        Some(-3800.0), standing: On }] }
+        Some(-3800.0), standing: On }] }
+        Some(-600.0), standing: On }] }"#]]
+    .assert_eq(&born.join("\n"));
+}
--- a/crates/steward/tests/steward/news.rs
+++ b/crates/steward/tests/steward/news.rs
@@ -1,4 +1,5 @@
 use crate::peers::{for_ms, ties, Dialled, Peer, Then};
+use amberarch_steward::counters::Seldom;
 use amberarch_steward::news::Follow;
 use expect_test::expect;
 use std::time::Duration;
@@ -16,7 +17,9 @@
         });
         let (dial, ties) = (Peer::new(&trace, script), ties(&trace));
         let connect_within = Duration::from_millis(250);
-        Follow { dial, host: "relay".into(), connect_within, ready, ties }.run().await;
+        Follow { dial, host: "relay".into(), connect_within, ready, skipped: Seldom::default(), ties }
+            .run()
+            .await;
     })
 }
 
