Calls for the list start 100 ms apart at the least

A list that answers every call at once, or a whole call with changes of an older version, would have been asked in a tight loop. Seen by reading; half of the 200 ms that the page allows between two calls of a watch.

--- a/crates/steward/src/list.rs
+++ b/crates/steward/src/list.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use slog::info;
 use tokio::sync::mpsc;
+use tokio::time::{sleep_until, Instant};
 
 use crate::desk::{Heard, Ties};
 use crate::http::{get, Dial, Fault, Kept};
@@ -13,6 +14,9 @@
 /// where it does not wait.
 const AFTER_WAIT: Duration = Duration::from_secs(2);
 const NO_WAIT: Duration = Duration::from_secs(6);
+/// The protocol page: a watch goes on if the next call comes within 200 ms. Half of that between the starts of
+/// two calls guards discovery and the core against a list that answers at once again and again.
+const BETWEEN: Duration = Duration::from_millis(100);
 
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(rename_all = "snake_case")]
@@ -83,7 +87,7 @@
                     continue;
                 }
             }
-            let whole = ask == Some(Ask::Whole);
+            let (whole, begun) = (ask == Some(Ask::Whole), Instant::now());
             let answer = tokio::select! {
                 answer = self.fetch((!whole).then_some(seq)) => answer,
                 Some(ask) = asks.recv() => {
@@ -114,6 +118,7 @@
                     drop(self.ties.desk.send(Heard::ListFailed).await);
                 }
             }
+            sleep_until(begun + BETWEEN).await;
         }
     }
 
--- a/crates/steward/tests/steward/list.rs
+++ b/crates/steward/tests/steward/list.rs
@@ -40,7 +40,7 @@
         5000 GET /v1/servers?after=41&wait_ms=5000 
         5000 GET /v1/servers?after=41&wait_ms=5000 
         5000 -> Listed(Listing { seq: 43, whole: false, hosts: [Row { host: "s-1", dial: "127.1.0.1:3000", site: "a", class: "m2", block: 3, health: Terminating, share: 1.0, born_ms: 0.0 }] })
-        5000 GET /v1/servers?after=43&wait_ms=5000 
+        5100 GET /v1/servers?after=43&wait_ms=5000 
     "#]]
     .assert_eq(&asked(6_000, script, &[(0, Ask::Watch)]));
 }
@@ -90,9 +90,9 @@
     expect![[r#"
         0 a connection
         0 GET /v1/servers?after=41&wait_ms=5000 
-        0 GET /v1/servers 
-        0 -> Listed(Listing { seq: 3, whole: true, hosts: [] })
-        0 GET /v1/servers?after=3&wait_ms=5000 
+        100 GET /v1/servers 
+        100 -> Listed(Listing { seq: 3, whole: true, hosts: [] })
+        200 GET /v1/servers?after=3&wait_ms=5000 
     "#]]
     .assert_eq(&asked(1_000, script, &[(0, Ask::Watch)]));
 }
