--- a/crates/steward/src/news.rs
+++ b/crates/steward/src/news.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use slog::{info, warn};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
 use crate::counters::Seldom;
 use crate::desk::{Heard, Ties};
@@ -78,13 +78,18 @@
         let seldom = Seldom::default();
         let mut watch = self.dial_until_up(&seldom).await;
         loop {
+            let begun = Instant::now();
             let heard = self.stands(&mut watch).await;
             let (next, heard) = self.follow(&mut watch, heard, &seldom).await;
             watch = match next {
                 Next::Beside(other) => other,
                 Next::Broken(why) => {
-                    warn!(self.ties.log, "the news broke off"; "why" => why);
+                    if let Some(hidden) = seldom.pass() {
+                        warn!(self.ties.log, "the news broke off"; "why" => why, "hidden" => hidden);
+                    }
                     drop(watch);
+                    // Guards against a relay that breaks every watch as soon as it stands.
+                    sleep_until(begun + ANSWER).await;
                     self.dial_until_up(&seldom).await
                 }
             };
--- a/crates/steward/tests/steward/news.rs
+++ b/crates/steward/tests/steward/news.rs
@@ -85,6 +85,28 @@
     .assert_eq(&heard(4_000, script));
 }
 
+/// Guards against a relay that breaks every watch at once: dialling goes on, at a pace.
+#[test]
+fn watches_that_break_at_once_are_dialled_at_a_pace() {
+    let script =
+        &[Dialled::Up(&[Watched, Close]), Dialled::Up(&[Watched, Close]), Dialled::Up(&[Watched, SIGN])];
+    expect![[r#"
+        0 a connection
+        0 GET /watch 
+        0 ready
+        0 -> Stood
+        50 a connection
+        50 GET /watch 
+        50 -> Standing { anew: false }
+        50 -> Stood
+        100 a connection
+        100 GET /watch 
+        100 -> Standing { anew: false }
+        100 -> Stood
+    "#]]
+    .assert_eq(&heard(500, script));
+}
+
 /// Guards against what was missed between two watches: what stands is told as such.
 #[test]
 fn a_watch_that_breaks_is_dialled_anew_and_what_stands_is_told() {
