A watch that breaks or is silent before it told what stands takes nobody for gone

news.rs stands() told the end of what stands on any break or silence, also before the first line: all known proxies would have left and been bound anew, a message each, at each such watch. Seen in a trace of watches that break at once.

--- a/crates/steward/src/desk.rs
+++ b/crates/steward/src/desk.rs
@@ -206,8 +206,9 @@
                 }
             },
             Heard::Standing { anew } => {
+                // What a watch before this one left open stays so.
+                self.anew = anew || self.unseen.is_some() && self.anew;
                 self.unseen = Some(self.joined.keys().copied().collect());
-                self.anew = anew;
             }
             Heard::Stood => {
                 for proxy in self.unseen.take().unwrap_or_default() {
--- a/crates/steward/src/news.rs
+++ b/crates/steward/src/news.rs
@@ -98,15 +98,25 @@
         }
     }
 
-    /// What stands comes first and has no end of its own: a silence ends it, or a sign of life.
+    /// What stands comes first and has no end of its own: a silence ends it, or a sign of life. A watch that
+    /// breaks or says nothing before that does not tell who left. Returns when it was heard last.
     async fn stands(&self, watch: &mut Watch) -> Instant {
-        while let Ok(Ok(line)) = timeout(PIECES, watch.line()).await {
-            if !self.pass_on(&line).await {
-                break;
+        let (mut heard, mut within) = (Instant::now(), SIGN_OF_LIFE);
+        loop {
+            match timeout(within, watch.line()).await {
+                Ok(Ok(line)) => {
+                    (heard, within) = (Instant::now(), PIECES);
+                    if self.pass_on(&line).await {
+                        continue;
+                    }
+                }
+                Ok(Err(_)) => return heard,
+                Err(_) if within == SIGN_OF_LIFE => return heard,
+                Err(_) => {}
             }
+            self.tell(Heard::Stood).await;
+            return heard;
         }
-        self.tell(Heard::Stood).await;
-        Instant::now()
     }
 
     /// Passes news on until it breaks, or until it fell silent and another watch stands beside it;
