--- a/crates/steward/src/news.rs
+++ b/crates/steward/src/news.rs
@@ -9,11 +9,11 @@
 use serde::Deserialize;
 use slog::{info, warn};
 use tokio::sync::watch;
-use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 use crate::counters::Seldom;
 use crate::desk::{Heard, Ties};
-use crate::http::{get, Dial, Fault, Line};
+use crate::http::{get, limited, Dial, Fault, Line};
 
 /// The protocol page: every second a sign of life comes; times are 300 ms longer on sockets.
 const SIGN_OF_LIFE: Duration = Duration::from_millis(1_300);
@@ -103,16 +103,16 @@
     async fn stands(&self, watch: &mut Watch) -> Instant {
         let (mut heard, mut within) = (Instant::now(), SIGN_OF_LIFE);
         loop {
-            match timeout(within, watch.line()).await {
-                Ok(Ok(line)) => {
+            match limited(within, watch.line()).await {
+                Some(Ok(line)) => {
                     (heard, within) = (Instant::now(), PIECES);
                     if self.pass_on(&line).await {
                         continue;
                     }
                 }
-                Ok(Err(_)) => return heard,
-                Err(_) if within == SIGN_OF_LIFE => return heard,
-                Err(_) => {}
+                Some(Err(_)) => return heard,
+                None if within == SIGN_OF_LIFE => return heard,
+                None => {}
             }
             self.tell(Heard::Stood).await;
             return heard;
--- a/crates/steward/src/relay.rs
+++ b/crates/steward/src/relay.rs
@@ -77,17 +77,26 @@
                     Err(fault) => fault,
                 };
                 if let Some(hidden) = seldom.pass() {
-                    warn!(self.ties.log, "a call failed"; "how" => %fault, "orders" => count, "hidden" => hidden);
+                    let refused = match fault {
+                        CallFault::RefusedAfter(taken) => waiting.get(taken),
+                        CallFault::Refused(_) => waiting.front(),
+                        _ => None,
+                    };
+                    let refused = refused.map(|order| String::from_utf8_lossy(order));
+                    warn!(self.ties.log, "a call failed"; "how" => %fault, "orders" => count,
+                        "refused" => refused.as_deref(), "hidden" => hidden);
                 }
                 match fault {
                     CallFault::RefusedAfter(taken) => {
                         self.ties.counters.calls_refused.one();
-                        self.skip(waiting.drain(..=taken).next_back(), 1);
+                        self.ties.counters.orders_skipped.one();
+                        waiting.drain(..=taken);
                         self.again(&marks, !waiting.is_empty()).await;
                     }
                     CallFault::Refused(_) => {
                         self.ties.counters.calls_refused.one();
-                        self.skip(waiting.drain(..count).next(), count);
+                        self.ties.counters.orders_skipped.more(count);
+                        waiting.drain(..count);
                     }
                     CallFault::Busy => {
                         self.ties.counters.calls_busy.one();
@@ -117,12 +126,6 @@
         }
     }
 
-    fn skip(&self, first: Option<Bytes>, count: usize) {
-        self.ties.counters.orders_skipped.more(count);
-        let first = first.map(|order| String::from_utf8_lossy(&order).into_owned());
-        warn!(self.ties.log, "the relay did not take orders"; "count" => count, "first" => first);
-    }
-
     /// One call with the first orders that wait.
     async fn call(&mut self, orders: &VecDeque<Bytes>, count: usize) -> Result<(), CallFault> {
         let mut body = Vec::from(&b"{\"changes\":["[..]);
