--- a/crates/steward/src/lines.rs
+++ b/crates/steward/src/lines.rs
@@ -43,35 +43,32 @@
         time if time <= LONGEST_MS => Ok(time),
         time => Err(format!("{name}={time} is too long")),
     };
-    let part = |whole: u32, name: &str| match count(name)? {
-        part if part <= whole => Ok(part),
-        part => Err(format!("{name}={part} of {whole}")),
-    };
     Ok(Some(match kind {
         "PING" => Said::Ping,
         "SOURCE" => Said::Source { zone: word("zone")?.into() },
         "LOAD" => {
-            let tries = count("tries")?;
+            let (tries, voided) = (count("tries")?, count("failed")?);
+            if voided > tries {
+                return Err(format!("failed={voided} of {tries}"));
+            }
             Said::Load {
                 zone: word("zone")?.into(),
                 host: word("server")?.into(),
                 tries,
-                voided: part(tries, "failed")?,
+                voided,
                 mean: time("mean_ms")?,
                 over: time("span_ms")?,
                 report: word("load").map_or(Ok(LoadReport::default()), report)?,
             }
         }
-        "RATE" => {
-            let txns = count("tries")?;
-            Said::Rate {
-                proxy: number("proxy", word("proxy")?)?,
-                product: word("class")?.into(),
-                txns,
-                voided: part(txns, "failed")?,
-                over: time("span_ms")?,
-            }
-        }
+        // What came before the span may have voided in it, so `failed` may be over `tries`.
+        "RATE" => Said::Rate {
+            proxy: number("proxy", word("proxy")?)?,
+            product: word("class")?.into(),
+            txns: count("tries")?,
+            voided: count("failed")?,
+            over: time("span_ms")?,
+        },
         _ => return Ok(None),
     }))
 }
--- a/crates/steward/src/listen.rs
+++ b/crates/steward/src/listen.rs
@@ -36,6 +36,7 @@
     pub ready: watch::Receiver<bool>,
     pub zones: Rc<[String]>,
     pub skipped: Rc<Seldom>,
+    pub closed: Rc<Seldom>,
 }
 
 /// How far a connection has come, in the order in which they are closed where there are too many.
@@ -124,7 +125,7 @@
         }
     };
     if !matches!(ended, Ended::Closed | Ended::Broken(_)) {
-        if let Some(hidden) = inside.skipped.pass() {
+        if let Some(hidden) = inside.closed.pass() {
             warn!(inside.ties.log, "closed a connection"; "why" => %ended, "hidden" => hidden);
         }
         // Collectors are never written to; anyone else is told.
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -112,7 +112,7 @@
     let list = Discovery { line: line(at_discovery), wait, ties: ties.clone() };
     // A quarter of the descriptors for probes, half for those who connect.
     let prober = Prober { path, connect_within, most: sockets / 4, ties: ties.clone() };
-    let inside = Inside { ready: can_serve, zones, skipped: Rc::new(Seldom::default()), ties };
+    let inside = Inside { ready: can_serve, zones, skipped: Rc::default(), closed: Rc::default(), ties };
 
     info!(log, "started"; "listen" => %listen, "relay" => %relay, "discovery" => %discovery);
     let mut parts = tokio::task::JoinSet::new();
