Half-warm hosts serve under strain; sums from before a start gate nobody

A view of the module printed each second shows why: the tries that were under way when the hosts died are summed as voided until 20 s, after the start's clean slate, and gate five of them again for 8 s; and from 20 s all cold hosts are held out because the rest is slow, which keeps the rest slow, until they are wholly warm. Excluded: late gates (all 11 within 1 s), orders (0.4 s), memory, descriptors, the steward's core.

Wrong: in want() strain held out every host not wholly warm; hear() took sums of a host that started anew while nobody may send to it. Now strain holds out those that can do less than 0.65, and such sums are passed over.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,15 +1,13 @@
-//! amberarch's decisions. How to call it: make one [`Steward`] for each instance from its start
-//! facts, then hand all events of one moment to `decide` and carry out the orders that come back,
-//! in their order. The interface (ids, facts, events, orders) is the crate `amberarch-core`.
-//! The design: every listed host is probed each period; a run of fails gates it and withdraws it;
-//! a run of passes lifts the gate; tables are few and shared, at listed weight. What departs from
-//! that, and when, is told in docs/design.md and beside the code that does it.
+//! amberarch's decisions. Make one [`Steward`] for each instance from its start facts, hand all events of
+//! one moment to `decide`, and carry out the orders that come back, in their order. The design, and what
+//! departs from it when, is told in docs/design.md; the departures also beside the code.
 
 use amberarch_core::*;
+use derive_more::{Add, Sum};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
 
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Default, Add, Sum)]
 struct Tally {
     tries: f64,
     voided: f64,
@@ -22,10 +20,6 @@
         let (tries, voided) = (f64::from(tries), f64::from(voided));
         Tally { tries, voided, took: mean * (tries - voided), over }
     }
-    fn plus(self, other: Tally) -> Tally {
-        let (tries, voided) = (self.tries + other.tries, self.voided + other.voided);
-        Tally { tries, voided, took: self.took + other.took, over: self.over + other.over }
-    }
     fn voided_part(&self) -> f64 {
         self.voided / self.tries.max(1.0)
     }
@@ -52,12 +46,12 @@
         let number = (now / BUCKET) as i64;
         let slot = &mut self.0[number.rem_euclid(BUCKETS as i64) as usize];
         let sum = if slot.0 == number { slot.1 } else { Tally::default() };
-        *slot = (number, sum.plus(tally));
+        *slot = (number, sum + tally);
     }
     fn last(&self, now: f64, span: f64) -> Tally {
         let (newest, oldest) = ((now / BUCKET) as i64, ((now - span) / BUCKET) as i64);
         let within = self.0.iter().filter(|slot| slot.0 > oldest && slot.0 <= newest);
-        within.fold(Tally::default(), |sum, slot| sum.plus(slot.1))
+        within.map(|slot| slot.1).sum()
     }
 }
 
@@ -111,6 +105,9 @@
     }
 }
 
+/// What a cold host can do when it may carry half: so much bears what strained proxies turn to it.
+const HALF: f64 = 0.65;
+
 struct Host {
     zone: ZoneId,
     place: u32,
@@ -129,17 +126,20 @@
 
 impl Host {
     fn met(&self, now: f64, span: f64) -> Tally {
-        self.met.values().fold(Tally::default(), |sum, ring| sum.plus(ring.last(now, span)))
+        self.met.values().map(|ring| ring.last(now, span)).sum()
     }
 
-    /// The part of its listed weight that a host may carry; none: it stays out. A cold host comes
-    /// back in few steps, each below what the slowest warming allows at that age.
+    /// The part of its listed weight that it may carry, in few steps below what it can; none: it stays out.
     fn part(&self, now: f64, warmup: &Warmup) -> Option<f64> {
-        let age = self.cold_since.map_or(1.0, |since| (now - since) / warmup.within);
-        let able = if age < 1.0 { warmup.from + (1.0 - warmup.from) * age } else { 1.0 };
-        let step = [(1.0, 1.0), (0.5, 0.65), (0.25, 0.3)].into_iter().find(|(_, needs)| able >= *needs)?.0;
+        let able = self.able(now, warmup);
+        let step = [(1.0, 1.0), (0.5, HALF), (0.25, 0.3)].into_iter().find(|(_, needs)| able >= *needs)?.0;
         Some(step * self.pace)
     }
+    /// The part of its capacity that the slowest warming has brought it.
+    fn able(&self, now: f64, warmup: &Warmup) -> f64 {
+        let age = self.cold_since.map_or(2.0, |since| (now - since) / warmup.within);
+        f64::min(1.0, warmup.from + (1.0 - warmup.from) * age)
+    }
 
     /// Guards against hosts slower than listed: one whose good answers come late beside the others' carries
     /// less, in few sticky steps, each seen in later sums. One slow for other reasons loses traffic too.
@@ -173,8 +173,8 @@
     }
 }
 
-/// Neighbours' hosts join where a zone's own carry more than the fleet's share, by skewed demand or lost
-/// hosts; all, where none is left. Costs crossings. Sticky quarters, so that small shifts write no orders.
+/// Neighbours' hosts join where a zone's own carry more than the fleet's share; all, where none is left.
+/// Costs crossings. Sticky quarters, so that small shifts write no orders.
 fn spill(parts: &mut BTreeMap<(ZoneId, ZoneId), f64>, weights: &[f64], demands: &[f64], movable: f64) {
     let fair = demands.iter().sum::<f64>() / weights.iter().sum::<f64>().max(1e-9);
     let room: Vec<f64> = weights.iter().zip(demands).map(|(w, d)| (w * fair - d).max(0.0)).collect();
@@ -207,9 +207,8 @@
     work: f64,
 }
 
-/// Seats a zone's proxies at its tables, by the open weight in the smallest ones. Each goes to the
-/// smallest of which it asks half the fair share at most, and there to the least loaded. It stays, as a
-/// move costs handshakes, until its rate fits no more or it evens out `gain` of the fair load.
+/// Seats a zone's proxies: each at the smallest table of which it asks half the fair share at most, the least
+/// loaded. It stays, as moves cost handshakes, until its rate fits no more or it evens out `gain` of load.
 fn seat(proxies: &mut BTreeMap<ProxyId, Proxy>, zone: ZoneId, asks: &[Ask], open: &[f64], gain: f64) {
     let most = open.len() as u32;
     let groups = |node: u32| (node - breadth(node)..most).step_by(breadth(node) as usize);
@@ -421,12 +420,15 @@
             Event::List { news, entries } => self.learn(now, *news, entries),
             Event::Joined { proxy, zone, txns_per_s, .. } => {
                 self.left(*proxy);
-                let joined = Proxy { zone: *zone, joined_rate: *txns_per_s, ..Proxy::default() };
-                self.proxies.insert(*proxy, joined);
+                self.proxies
+                    .insert(*proxy, Proxy { zone: *zone, joined_rate: *txns_per_s, ..Proxy::default() });
             }
             Event::Left { proxy } => self.left(*proxy),
             Event::Met { host, zone, tries, voided, mean, over, .. } => {
-                if let Some(host) = self.hosts.get_mut(host) {
+                let out = self.present.held.contains(host);
+                // While one that started anew is out, sums still tell of tries from before its start.
+                let counts = |host: &&mut Host| !out || host.able(now, &self.warmup) >= 1.0;
+                if let Some(host) = self.hosts.get_mut(host).filter(counts) {
                     host.met.entry(*zone).or_default().add(now, Tally::new(*tries, *voided, *mean, *over));
                     (host.summed, self.summed_at) = (true, now);
                 }
@@ -586,7 +588,8 @@
             // leave it. Nor are cold ones let in there, or where tries fail at all: they would get all.
             let few = few.contains(&host.zone);
             let gated = host.gate.shut && !none_open && !(few && confined);
-            if !gated && (!few && !self.strained || warm(host)) {
+            let stands = host.able(now, &self.warmup) >= HALF;
+            if !gated && (!few && (!self.strained || stands) || warm(host)) {
                 plan.held.remove(&id);
             }
         }
@@ -673,7 +676,7 @@
         let met = rings.map(|ring| ring.last(now, self.cover + BUCKET));
         let met: Vec<Tally> = met.filter(|met| !fails_txns(met, self.usual_voided, self.sla)).collect();
         let settled = met.iter().map(Tally::rate).sum();
-        let real = met.into_iter().fold(Tally::default(), Tally::plus);
+        let real = met.into_iter().sum();
         let judge_at = if self.sidecars.levels == LevelKind::Off { f64::MAX } else { f64::MIN };
         let level = self.levels.entry(zone).or_insert(Level { share: 1.0, judge_at, pressed: false });
         level.judge(now, &real, settled, &asks, (self.sums.every, self.cover));
@@ -699,8 +702,7 @@
         }
     }
 
-    /// The one place that turns what is wanted into orders: what differs from the present goes out, the
-    /// urgent first, as far as the channel takes it. What does not fit waits for the next call.
+    /// What differs from the present goes out, the urgent first; what the channel does not take now waits.
     fn publish(&mut self, now: f64, wanted: Plan, out: &mut Vec<Order>) {
         let (channel, proxies) = (&self.channel, &self.proxies);
         let waiting = self.sent.iter().flat_map(|sent| sent.1.values()).sum();
@@ -743,11 +745,8 @@
             let share = |tbl: TblId| move |&(host, weight): &_| Order::Share { tbl, host, weight };
             let orders: Vec<Order> = changes.iter().map(share(number(*tbl))).collect();
             let bare = standing.keys().all(|host| present.held.contains(host));
-            let may = match (bare, changes.iter().any(|(host, _)| back(host))) {
-                (true, _) => DRAIN,
-                (_, true) => URGENT,
-                _ => ROUTINE,
-            };
+            let usual = if changes.iter().any(|(host, _)| back(host)) { URGENT } else { ROUTINE };
+            let may = if bare { DRAIN } else { usual };
             if !orders.is_empty() && reply.take(may, whom, orders.len() as f64, &orders) {
                 standing.extend(changes);
                 standing.retain(|_, weight| *weight > 0.0);
