Cold hosts come back in one step more, each nearer to what they can do

Now a quarter, a half and three quarters at 0.3, 0.55 and 0.8; strain holds out those under 0.55. Excluded as a danger: p2c turns at most twice its weight's share to a host, which at these steps and load 1.2 stays under 2.3 times what it can do, of 4 allowed.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -106,7 +106,7 @@
 }
 
 /// What a cold host can do when it may carry half: so much bears what strained proxies turn to it.
-const HALF: f64 = 0.65;
+const HALF: f64 = 0.55;
 
 struct Host {
     zone: ZoneId,
@@ -132,7 +132,8 @@
     /// The part of its listed weight that it may carry, in few steps below what it can; none: it stays out.
     fn part(&self, now: f64, warmup: &Warmup) -> Option<f64> {
         let able = self.able(now, warmup);
-        let step = [(1.0, 1.0), (0.5, HALF), (0.25, 0.3)].into_iter().find(|(_, needs)| able >= *needs)?.0;
+        let steps = [(1.0, 1.0), (0.75, 0.8), (0.5, HALF), (0.25, 0.3)];
+        let step = steps.into_iter().find(|(_, needs)| able >= *needs)?.0;
         Some(step * self.pace)
     }
     /// The part of its capacity that the slowest warming has brought it.
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -61,7 +61,8 @@
         4000 t0 host1 weight 0.25
         4000 restore host1
         4000 admit t0 for 1: 1 One
-        12800 t0 host1 weight 0.5
+        10200 t0 host1 weight 0.5
+        16400 t0 host1 weight 0.75
         21400 t0 host1 weight 1
         21400 admit t0 for 1: 1 AfterProof
     "#]]
@@ -101,9 +102,14 @@
         7600 restore host0
         7600 restore host2
         7600 admit t2 for 1: 0.3 One
-        16400 t2 host0 weight 0.5
-        16400 t2 host2 weight 0.5
-        16400 admit t2 for 1: 0.55 One
+        13800 t2 host0 weight 0.5
+        13800 t2 host2 weight 0.5
+        13800 admit t2 for 1: 0.6 One
+        15000 admit t2 for 1: 0.55 One
+        20000 t2 host0 weight 0.75
+        20000 t2 host2 weight 0.75
+        20000 admit t2 for 1: 0.85 One
+        23800 admit t2 for 1: 0.8 One
         25000 t2 host0 weight 1
         25000 t2 host2 weight 1
         25000 admit t2 for 1: 1 AfterProof
@@ -339,13 +345,13 @@
         18000 answered host0
         19000 answered host2
         20000 answered host2
+        20000 t0 host0 weight 0.5
         20000 restore host2
         20200 restore host0
         20400 t0 host1 weight 0.25
         20400 t0 host3 weight 0.25
         20400 t0 host5 weight 0.25
         21000 answered host4
-        21400 t0 host0 weight 0.5
         22000 answered host4
         22000 restore host4
     "#]]
@@ -586,8 +592,8 @@
     expect![[r#"
         3600 t0 host1 weight 0.25
         3600 admit t0 for 1: 1 One
-        12400 t0 host1 weight 0.5
-        12400 restore host1
+        9800 t0 host1 weight 0.5
+        9800 restore host1
     "#]]
     .assert_eq(&fleet.trace);
 }
