A gone host leaves nothing behind in module and steward; its number is not given again

Seen on reading: names.rs, desk.rs and the module kept every host that was ever listed (some 4 KB each with its sums), and the sets of shut-out hosts grew with them.

The module lets a host go (Order::Forget) once it is gone, no table names it and all proxies are bound; so that this comes to be, tables that were used once are kept up to date (nobody sits there: no lines in the channel). A host that comes later counts as shut out until it has its weight, since the relay may still hold an old order about it. The fronts drop name, listing and standing; numbers count up and are not given again, so what is late meets nobody.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -321,6 +321,10 @@
     Probe {
         host: HostId,
     },
+    /// No order will name this host again, unless the list does.
+    Forget {
+        host: HostId,
+    },
     Watch {
         on: bool,
     },
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -132,8 +132,7 @@
     /// The part of its listed weight that it may carry, in few steps below what it can; none: it stays out.
     fn part(&self, now: f64, warmup: &Warmup) -> Option<f64> {
         let able = self.able(now, warmup);
-        let steps = [(1.0, 1.0), (0.75, 0.8), (0.5, HALF), (0.25, 0.3)];
-        let step = steps.into_iter().find(|(_, needs)| able >= *needs)?.0;
+        let step = [(1.0, 1.0), (0.75, 0.8), (0.5, HALF), (0.25, 0.3)].iter().find(|step| able >= step.1)?.0;
         Some(step * self.pace)
     }
     /// The part of its capacity that the slowest warming has brought it.
@@ -187,9 +186,7 @@
             let each = flow * weight / (1.0 - out) / weights[other].max(1e-9);
             let exact = if *weight > 0.0 { each } else { 1.0 };
             let part = parts.entry((ZoneId(place as u16), ZoneId(other as u16))).or_insert(0.0);
-            if (exact - *part).abs() > 0.2 {
-                *part = (exact * 4.0).round().min(4.0) / 4.0;
-            }
+            *part = if (exact - *part).abs() > 0.2 { (exact * 4.0).round().min(4.0) / 4.0 } else { *part };
         }
     }
 }
@@ -312,9 +309,7 @@
             return false;
         }
         self.waiting += cost;
-        for proxy in whom {
-            *self.lines.entry(*proxy).or_insert(channel.head + 1.0) += each;
-        }
+        whom.iter().for_each(|proxy| *self.lines.entry(*proxy).or_insert(channel.head + 1.0) += each);
         self.orders.extend_from_slice(orders);
         true
     }
@@ -397,12 +392,10 @@
         roster: Roster, sums: Sums,
     ) -> Self {
         let sla = products.iter().map(|product| product.sla).sum::<f64>() / products.len().max(1) as f64;
-        let mask = |own: bool| {
-            let places = products.iter().enumerate().filter(|(_, product)| product.own_zone == own);
-            Products(places.fold(0, |mask, (place, _)| mask | (1 << place)))
-        };
+        let of = |own: bool| products.iter().enumerate().filter(move |(_, product)| product.own_zone == own);
+        let masks = [false, true].map(|own| Products(of(own).fold(0, |mask, (at, _)| mask | (1 << at))));
         Steward {
-            masks: [false, true].map(mask), post, products, sla, sidecars, warmup, sums, channel, roster,
+            masks, post, products, sla, sidecars, warmup, sums, channel, roster,
             sent: VecDeque::new(), marks: 0, cover: 0.0, best: 0.0, room: 0.0, failures: 0, ask_at: f64::MIN,
             spill: BTreeMap::new(), present: Plan::default(), fresh: true, urgent: false, strained: false,
             levels: BTreeMap::new(), hosts: BTreeMap::new(), proxies: BTreeMap::new(), usual_voided: 0.0,
@@ -426,10 +419,11 @@
             }
             Event::Left { proxy } => self.left(*proxy),
             Event::Met { host, zone, tries, voided, mean, over, .. } => {
-                let out = self.present.held.contains(host);
                 // While one that started anew is out, sums still tell of tries from before its start.
-                let counts = |host: &&mut Host| !out || host.able(now, &self.warmup) >= 1.0;
-                if let Some(host) = self.hosts.get_mut(host).filter(counts) {
+                let in_use = !self.present.held.contains(host);
+                let host =
+                    self.hosts.get_mut(host).filter(|host| in_use || host.able(now, &self.warmup) >= 1.0);
+                if let Some(host) = host {
                     host.met.entry(*zone).or_default().add(now, Tally::new(*tries, *voided, *mean, *over));
                     (host.summed, self.summed_at) = (true, now);
                 }
@@ -494,6 +488,9 @@
         for entry in entries {
             let (zone, standing) = (entry.zone, entry.standing);
             let weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
+            // One that is new here may be one that was let go while shut out: it is let in like those.
+            let new = news != ListNews::Restored && !self.hosts.contains_key(&entry.host);
+            self.present.held.extend(new.then_some(entry.host));
             let free = (0..).find(|place| !taken.contains(&(zone, *place))).unwrap_or(0);
             #[rustfmt::skip]
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host {
@@ -547,10 +544,7 @@
                     host.gate.count(now, Some(false), 1 + (self.cover / PROBE_PERIOD) as u32, 8_000.0);
                 }
             }
-            let gate = &mut host.gate;
-            if gate.shut && gate.passes >= PASSES_TO_LIFT && now >= gate.until {
-                (gate.shut, gate.fails) = (false, 0);
-            }
+            host.gate.shut &= host.gate.passes < PASSES_TO_LIFT || now < host.gate.until;
         }
     }
 
@@ -577,11 +571,9 @@
         let none_open = able().all(|(_, host, _)| host.gate.shut);
         let warm = |host: &Host| host.cold_since.is_none_or(|at| now >= at + within);
         // Zones with most of their warm hosts' weight gated.
-        let few = |zone: &ZoneId| {
-            let there = able().map(|(_, host, _)| host).filter(|host| host.zone == *zone && warm(host));
-            let weigh = |host: &Host| if host.gate.shut { -host.weight } else { host.weight };
-            there.map(weigh).sum::<f64>() < 0.0
-        };
+        let there = |zone: ZoneId| able().map(|able| able.1).filter(move |h| h.zone == zone && warm(h));
+        let weigh = |host: &Host| if host.gate.shut { -host.weight } else { host.weight };
+        let few = |zone: &ZoneId| there(*zone).map(weigh).sum::<f64>() < 0.0;
         let few: BTreeSet<ZoneId> = zones.iter().copied().filter(few).collect();
         plan.held = self.hosts.keys().copied().collect();
         for (id, host, _) in able() {
@@ -652,7 +644,7 @@
         for (id, proxy) in &self.proxies {
             plan.binds.extend(owns.clone().map(|own| ((*id, own), (proxy.zone, own, proxy.node))));
         }
-        for (zone, own, node) in plan.binds.values().chain(self.present.binds.values()).copied() {
+        for (zone, own, node) in plan.binds.values().chain(self.present.lines.keys()).copied() {
             let there = lines.get(&(zone, own)).into_iter().flatten();
             let named = there.filter(|line| line.0 % breadth(node) == node - breadth(node));
             plan.lines.insert((zone, own, node), named.map(|(_, id, weight)| (*id, *weight)).collect());
@@ -787,6 +779,14 @@
                 present.binds.insert((proxy, confined), tbl);
             }
         }
+        // One that is gone, in no table, and unknown to proxies not bound yet leaves nothing behind.
+        let named = |id: &HostId| present.lines.values().any(|lines| lines.contains_key(id));
+        let bound = |id: &ProxyId| present.binds.range((*id, false)..=(*id, true)).next().is_some();
+        let gone = self.hosts.iter().filter(|(id, host)| host.standing == Standing::Gone && !named(id));
+        let gone: Vec<HostId> = gone.map(|(id, _)| *id).filter(|_| proxies.keys().all(bound)).collect();
+        self.hosts.retain(|id, _| !gone.contains(id));
+        present.held.retain(|id| !gone.contains(id));
+        reply.orders.extend(gone.into_iter().map(|host| Order::Forget { host }));
         out.extend(reply.orders);
         if !reply.lines.is_empty() {
             out.push(Order::Mark { mark: MarkId(self.marks), everyone: false });
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -148,6 +148,7 @@
                     format!("admit t{} for {:b}: {level} {tries:?}", tbl.0, products.0)
                 }
                 Order::Watch { on } => format!("watch {on}"),
+                Order::Forget { host } => format!("forget host{}", host.0),
                 _ => continue,
             };
             self.note(&text);
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -649,3 +649,26 @@
     "#]]
     .assert_eq(&fleet.trace);
 }
+
+/// Guards memory where hosts are replaced for good: one that is gone is let go once no table names it and all
+/// proxies are bound. What comes later, or back, is let in whatever held it out before.
+#[test]
+fn a_gone_host_is_forgotten_once_nobody_can_hold_it() {
+    let mut fleet = Fleet::new(1, 3);
+    fleet.join(0);
+    fleet.trace.clear();
+    fleet.list(1, Standing::Gone, None);
+    fleet.met(1, 0, 6, 6, 0.0);
+    fleet.run(5);
+    fleet.note("it is listed again");
+    fleet.list(1, Standing::On, None);
+    fleet.run(5);
+    expect![[r#"
+        1000 withdraw host1
+        1000 t0 host1 weight 0
+        1000 forget host1
+        2000 it is listed again
+        2000 t0 host1 weight 1
+        2000 restore host1
+    "#]].assert_eq(&fleet.trace);
+}
--- a/crates/steward/src/desk.rs
+++ b/crates/steward/src/desk.rs
@@ -394,7 +394,7 @@
     fn hand_out(&mut self, decided: Vec<Order>) {
         /// The wire page: 71 minutes at most.
         const LONGEST_TIMER: Duration = Duration::from_secs(71 * 60);
-        let (mut calls, mut mark) = (Vec::new(), None);
+        let (mut calls, mut mark, mut gone) = (Vec::new(), None, Vec::new());
         for order in &decided {
             self.counters.orders.one();
             match order {
@@ -405,6 +405,7 @@
                 Order::Probe { host } => self.probe(*host),
                 Order::Watch { on } => self.ask(if *on { Ask::Watch } else { Ask::Unwatch }),
                 Order::Fetch => self.ask(Ask::Whole),
+                Order::Forget { host } => gone.push(*host),
                 Order::Log { text } => info!(self.log, "the decisions say"; "text" => text),
                 Order::Tell { .. } => warn!(self.log, "stewards do not speak with each other on sockets"),
                 order => {
@@ -435,9 +436,14 @@
             // for nobody: should it be full all the same, what is lost is made good by starting anew.
             if self.out.relay.try_send(Reply { orders, mark }).is_err() {
                 error!(self.log, "the relay's queue is full; the decisions start anew");
-                self.start_anew();
+                return self.start_anew();
             }
         }
+        for host in gone {
+            self.names.forget(host);
+            self.hosts.remove(&host);
+            self.shut_out.remove(&host);
+        }
     }
 
     fn ask(&mut self, ask: Ask) {
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -155,7 +155,7 @@
     match catch_unwind(AssertUnwindSafe(|| steward.decide(now, &happened))) {
         Ok(decided) => {
             for order in &decided {
-                orders::write(who, order, &instance.names, reply);
+                orders::write(who, order, &mut instance.names, reply);
             }
             true
         }
--- a/crates/wirehost/src/orders.rs
+++ b/crates/wirehost/src/orders.rs
@@ -6,7 +6,7 @@
 use amberarch_facts::Names;
 use base64::prelude::{Engine, BASE64_STANDARD};
 
-pub fn write(who: u64, order: &Order, names: &Names, out: &mut String) {
+pub fn write(who: u64, order: &Order, names: &mut Names, out: &mut String) {
     let written = match order {
         Order::Share { tbl, host, weight } => {
             let Some(host) = names.name(*host) else { return };
@@ -36,6 +36,7 @@
             let Some(host) = names.name(*host) else { return };
             writeln!(out, "ASK_LOAD {who} {host}")
         }
+        Order::Forget { host } => return names.forget(*host),
         Order::Watch { on } => writeln!(out, "FOLLOW {who} {}", u8::from(*on)),
         Order::Fetch => writeln!(out, "LOOKUP {who}"),
         Order::Tell { peer, blob } => {
