A host that voids most of its tries beside slow answers carries less

The module's view each second shows a slow host at part 0.5 that voids 10 of 11, then 18 of 21: too few good answers (6) for ease() to lower its part again, and good answers too slow for fails_txns() to gate it. Excluded: strangers (closed in time), restarts (all proxies bound). Now over half of 6 tries or more voided beside answers over 0.7 of the SLA time count too.

Replies that nobody is left to answer are dropped when the last proxy leaves.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -145,7 +145,8 @@
     /// less, in few sticky steps, each seen in later sums. One slow for other reasons loses traffic too.
     fn ease(&mut self, now: f64, real: &Tally, usual_mean: f64, sla: f64, every: f64) {
         let mean = real.mean();
-        let due = real.good() >= 6.0 && now >= self.paced_at + 2.0 * every + 2_000.0;
+        let overrun = real.tries >= 6.0 && real.voided_part() > 0.5 && mean > 0.7 * sla;
+        let due = (real.good() >= 6.0 || overrun) && now >= self.paced_at + 2.0 * every + 2_000.0;
         if due && mean > 0.5 * sla && mean > 1.6 * usual_mean && self.pace > 0.15 {
             (self.pace, self.paced_at) = (self.pace * (1.6 * usual_mean / mean).clamp(0.5, 0.75), now);
         } else if due && self.pace < 1.0 && mean < 0.5 * usual_mean {
@@ -472,7 +473,7 @@
     fn left(&mut self, proxy: ProxyId) {
         self.proxies.remove(&proxy);
         self.present.binds.retain(|(bound, _), _| *bound != proxy);
-        self.sent.iter_mut().for_each(|(_, lines)| lines.retain(|whom, _| *whom != proxy));
+        self.sent.retain_mut(|sent| sent.1.remove(&proxy).is_none() || !sent.1.is_empty());
     }
 
     fn learn(&mut self, now: f64, news: ListNews, entries: &[Listed]) {
