Count every connection that is closed for want of room; a trace of who goes first

Seen on reading listen.rs: connections_shed counted only newcomers turned away, not those closed in their favour, and no test showed the order in which they go.

--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -691,5 +691,6 @@
         1200 t0 host1 weight 0.5
         5200 t0 host1 weight 0.25
         9200 t0 host1 weight 0.125
-    "#]].assert_eq(&fleet.trace);
+    "#]]
+    .assert_eq(&fleet.trace);
 }
--- a/crates/steward/src/listen.rs
+++ b/crates/steward/src/listen.rs
@@ -12,7 +12,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, timeout_at, Instant};
 
-use crate::counters::Seldom;
+use crate::counters::{Count, Seldom};
 use crate::desk::{Heard, Ties};
 use crate::lines::{self, Bad, Ended, Lines, Said};
 
@@ -40,9 +40,8 @@
 }
 
 /// How far a connection has come, in the order in which they are closed where there are too many.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
-    #[default]
     Silent,
     /// It waits for the answer to its `PING`.
     Pinged,
@@ -56,19 +55,25 @@
     heard: Cell<Instant>,
 }
 
-impl Default for Seat {
-    fn default() -> Seat {
-        Seat { stage: Cell::default(), heard: Cell::new(Instant::now()) }
+impl Seat {
+    pub fn new(stage: Stage) -> Rc<Seat> {
+        Rc::new(Seat { stage: Cell::new(stage), heard: Cell::new(Instant::now()) })
     }
 }
 
+/// Those who are connected.
 #[derive(Default)]
-struct Guests(Vec<(Rc<Seat>, AbortHandle)>);
+pub struct Guests(Vec<(Rc<Seat>, AbortHandle)>);
 
 impl Guests {
-    /// Closes one more of those that stand for nobody: of those who have not joined, the one that has come
+    pub fn take(&mut self, seat: Rc<Seat>, task: AbortHandle) {
+        self.0.push((seat, task));
+    }
+
+    /// Closes, where needed, one that stands for nobody: of those who have not joined, the one that has come
     /// least far and was silent longest; of the connections of one zone over two, the one silent longest.
-    fn make_room(&mut self, most: usize) -> bool {
+    /// False where there is no room all the same: collectors are not closed for strangers.
+    pub fn make_room(&mut self, most: usize, shed: &Count) -> bool {
         self.0.retain(|(_, task)| !task.is_finished());
         let stood =
             |seat: &Seat| self.0.iter().filter(|(other, _)| other.stage.get() == seat.stage.get()).count();
@@ -79,9 +84,12 @@
         };
         let guests = self.0.iter().enumerate().filter(|(_, (seat, _))| may_go(seat));
         let first = guests.min_by_key(|(_, (seat, _))| (seat.stage.get(), seat.heard.get()));
-        let Some(place) = first.map(|(place, _)| place) else { return !full };
-        self.0.swap_remove(place).1.abort();
-        true
+        let first = first.map(|(place, _)| place);
+        if let Some(place) = first {
+            self.0.swap_remove(place).1.abort();
+            shed.one();
+        }
+        first.is_some() || !full
     }
 }
 
@@ -98,13 +106,13 @@
             }
         };
         inside.ties.counters.connections.one();
-        if !guests.make_room(most) {
+        if !guests.make_room(most, &inside.ties.counters.connections_shed) {
             inside.ties.counters.connections_shed.one();
             continue;
         }
-        let seat = Rc::new(Seat::default());
+        let seat = Seat::new(Stage::Silent);
         let task = tokio::task::spawn_local(connection(stream, seat.clone(), inside.clone()));
-        guests.0.push((seat, task.abort_handle()));
+        guests.take(seat, task.abort_handle());
     }
 }
 
--- a/crates/steward/tests/steward/listen.rs
+++ b/crates/steward/tests/steward/listen.rs
@@ -2,7 +2,8 @@
 use std::time::Duration;
 
 use amberarch_core::{HostId, Outcome};
-use amberarch_steward::listen::{connection, Inside};
+use amberarch_steward::counters::Count;
+use amberarch_steward::listen::{connection, Guests, Inside, Seat, Stage};
 use amberarch_steward::probe::Prober;
 use expect_test::expect;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -43,7 +44,7 @@
             to_ready.send_replace(true);
             std::future::pending::<()>().await;
         });
-        connection(ours, Rc::default(), inside).await;
+        connection(ours, Seat::new(Stage::Silent), inside).await;
         let counted = counters.to_string();
         let lines = counted
             .split(' ')
@@ -154,6 +155,56 @@
     "#]].assert_eq(&told);
 }
 
+/// Guards collectors against strangers by the hundred, and whoever waits for a sign of life against those who
+/// say nothing; a collector that fell silent and came back leaves no connection behind.
+#[test]
+fn of_too_many_those_who_have_come_least_far_are_closed_first() {
+    let told = for_ms(60_000, |trace| async move {
+        let (mut guests, mut all, shed) = (Guests::default(), Vec::new(), Count::default());
+        let (a, b) = (Stage::Joined(0), Stage::Joined(1));
+        let (silent, pinged) = (Stage::Silent, Stage::Pinged);
+        let four = [a, silent, pinged, silent, a, pinged, b, b, silent].map(|stage| (stage, 4));
+        for (stage, most) in four.into_iter().chain([(a, 5), (silent, 9)]) {
+            let room = guests.make_room(most, &shed);
+            tokio::task::yield_now().await;
+            all.retain(|(named, task): &(String, tokio::task::JoinHandle<()>)| {
+                let ends = task.is_finished();
+                if ends {
+                    trace.note(&format!("closed {named}"));
+                }
+                !ends
+            });
+            let named = format!("{stage:?} of {}", all.len());
+            trace.note(&format!("{named}: {}", if room { "taken" } else { "no room" }));
+            if room {
+                let task = tokio::task::spawn_local(std::future::pending());
+                guests.take(Seat::new(stage), task.abort_handle());
+                all.push((named, task));
+            }
+            sleep(Duration::from_millis(1)).await;
+        }
+    });
+    expect![[r#"
+        0 Joined(0) of 0: taken
+        1 Silent of 1: taken
+        2 Pinged of 2: taken
+        3 Silent of 3: taken
+        4 closed Silent of 1
+        4 Joined(0) of 3: taken
+        5 closed Silent of 3
+        5 Pinged of 3: taken
+        6 closed Pinged of 2
+        6 Joined(1) of 3: taken
+        7 closed Pinged of 3
+        7 Joined(1) of 3: taken
+        8 Silent of 4: no room
+        9 Joined(0) of 4: taken
+        10 closed Joined(0) of 0
+        10 Silent of 4: taken
+    "#]]
+    .assert_eq(&told);
+}
+
 /// Guards against a probe that waits for ever, and against taking silence for an error.
 #[test]
 fn a_probe_tells_what_became_of_it_in_bounded_time() {
