Load reports come in over gRPC, ordered by observation and never over a fresh probe

Need: other installations' hosts report their load, and a late burst of old reports must not overturn what probes show. Change: crates/intake (ordering, ageing, paces, no I/O), crates/intake-grpc on a thread of its own, one event Load in core that may ease a host earlier than sums do, the operator's file with amberarch check, and the messages between desk and parts in a file below both. Off without [intake].

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -253,6 +253,14 @@
         took: f64,
         report: LoadReport,
     },
+    /// What is believed of a host's own load, after its reports were ordered and weighed; 1 is full.
+    /// `age` is how long ago the newest of them was observed, `sure` from 0 (nothing is believed) to 1.
+    Load {
+        host: HostId,
+        load: f64,
+        age: f64,
+        sure: f64,
+    },
     Applied {
         proxy: ProxyId,
         mark: MarkId,
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,79 @@
+//! The operator's file, `deploy/amberarch.toml`: one section a subsystem, and a section that is absent is off.
+//! Text goes in, checked sections or the first fault with its line and column come out. It opens no file, and
+//! nothing here is a decision: what a figure is used for stands with the subsystem that is given it.
+
+mod intake;
+
+use std::fmt;
+
+use serde::Deserialize;
+use toml::Spanned;
+
+pub use intake::Intake;
+
+/// All that an operator has switched on.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operator {
+    pub intake: Option<Intake>,
+}
+
+/// What is wrong, and where.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub struct Fault {
+    pub line: usize,
+    /// In characters from 1.
+    pub column: usize,
+    pub what: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}", self.line, self.column, self.what)
+    }
+}
+
+impl Fault {
+    fn at(text: &str, offset: usize, what: impl Into<String>) -> Fault {
+        let before = text.get(..offset).unwrap_or(text);
+        let line = before.matches('\n').count() + 1;
+        let column = before.rsplit('\n').next().unwrap_or("").chars().count() + 1;
+        Fault { line, column, what: what.into() }
+    }
+}
+
+/// A figure that can't be, found after the file was read; its place is that of the value.
+type Unfit = (std::ops::Range<usize>, String);
+
+impl Operator {
+    /// # Errors
+    /// The first thing that is no TOML, names no setting, lacks one, or holds a figure that can't be.
+    pub fn parse(text: &str) -> Result<Operator, Fault> {
+        let operator: Operator = toml::from_str(text).map_err(|error| {
+            let offset = error.span().map_or(0, |span| span.start);
+            Fault::at(text, offset, error.message())
+        })?;
+        let found = operator.intake.as_ref().map_or(Ok(()), Intake::check);
+        found.map_err(|(span, what)| Fault::at(text, span.start, what))?;
+        Ok(operator)
+    }
+
+    /// The names of the sections that are there.
+    pub fn sections(&self) -> Vec<&'static str> {
+        [self.intake.as_ref().map(|_| "intake")].into_iter().flatten().collect()
+    }
+}
+
+/// The value lies between the two, ends included.
+fn between<T: PartialOrd + fmt::Display + Copy>(
+    name: &str,
+    value: &Spanned<T>,
+    least: T,
+    most: T,
+) -> Result<(), Unfit> {
+    let found = *value.get_ref();
+    match least <= found && found <= most {
+        true => Ok(()),
+        false => Err((value.span(), format!("{name} = {found}: expected {least} to {most}"))),
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -105,6 +105,13 @@
     }
 }
 
+/// From this load on work queues up; a host so far above the median one has less room than it is listed for.
+pub const FULL_LOAD: f64 = 0.9;
+pub const BESIDE: f64 = 1.3;
+/// So long a told load stands, and so surely it must be known.
+const TOLD_FOR: f64 = 2_000.0;
+const SURE: f64 = 0.5;
+
 /// What a cold host can do when it may carry half: so much bears what strained proxies turn to it.
 const HALF: f64 = 0.55;
 
@@ -118,6 +125,8 @@
     met: BTreeMap<ZoneId, Ring>,
     summed: bool,
     busy: Option<f64>,
+    /// The load that it is believed to have, and when that was observed.
+    told: Option<(f64, f64)>,
     probed_at: f64,
     /// The part of its listed weight that its speed bears out, and when that was last changed.
     pace: f64,
@@ -153,6 +162,16 @@
             (self.pace, self.paced_at) = (f64::min(1.0, self.pace / 0.6), now);
         }
     }
+
+    /// Sums tell of a slow host two periods late: one that tells of its own load is eased by that. Back up it
+    /// comes by sums alone, and no gate goes by it. A told load never outlives a probe or sum observed later.
+    fn lighten(&mut self, now: f64, usual_load: f64, every: f64, warmup: &Warmup) {
+        let Some((load, _)) = self.told.filter(|told| now < told.1 + TOLD_FOR) else { return };
+        let due = now >= self.paced_at + 2.0 * every + 2_000.0 && self.able(now, warmup) >= 1.0;
+        if due && load > FULL_LOAD && load > BESIDE * usual_load && self.pace > 0.15 {
+            (self.pace, self.paced_at) = (self.pace * (BESIDE * usual_load / load).clamp(0.5, 0.75), now);
+        }
+    }
 }
 
 #[derive(Default)]
@@ -427,6 +446,7 @@
                 if let Some(host) = host {
                     host.met.entry(*zone).or_default().add(now, Tally::new(*tries, *voided, *mean, *over));
                     (host.summed, self.summed_at) = (true, now);
+                    host.told = host.told.filter(|told| told.1 > now - over / 2.0);
                 }
             }
             Event::Came { proxy, product, txns, voided, over } => {
@@ -442,7 +462,7 @@
                     let shut = host.gate.shut;
                     let spared = *outcome == Outcome::Errored && !shut && host.weight > self.room;
                     let pass = passes(*outcome, &host.met(now, span)).filter(|_| !spared);
-                    host.busy = report.busy.or(host.busy);
+                    (host.busy, host.told) = (report.busy.or(host.busy), None);
                     host.gate.count(now, pass, 1, 0.0);
                     self.room -= if host.gate.shut && !shut { host.weight } else { 0.0 };
                     self.urgent |= host.gate.shut && pass != Some(shut);
@@ -452,6 +472,13 @@
                     }
                 }
             }
+            Event::Load { host, load, age, sure } => {
+                if let Some(host) = self.hosts.get_mut(host) {
+                    let born = host.cold_since.unwrap_or(f64::MIN);
+                    host.told = Some((*load, now - age)).filter(|told| *sure >= SURE && told.1 > born);
+                    host.busy = host.told.map(|told| told.0).or(host.busy);
+                }
+            }
             Event::Applied { proxy, mark, .. } => {
                 if let Some(place) = self.sent.iter().position(|sent| sent.0 == *mark) {
                     self.sent.drain(..place);
@@ -496,7 +523,8 @@
             #[rustfmt::skip]
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host {
                 zone, place: free, weight, standing, cold_since: None, gate: Gate::default(), pace: 1.0,
-                met: BTreeMap::new(), summed: false, busy: None, probed_at: f64::MIN, paced_at: f64::MIN,
+                met: BTreeMap::new(), summed: false, busy: None, told: None, probed_at: f64::MIN,
+                paced_at: f64::MIN,
             });
             (host.zone, host.standing, host.weight) = (zone, standing, weight);
             taken.insert((zone, host.place));
@@ -504,6 +532,7 @@
             if let Some(born) = entry.born.filter(|born| *born > known) {
                 // What it did before it started anew says nothing.
                 (host.gate, host.cold_since) = (Gate { shut: host.gate.shut, ..Gate::default() }, Some(born));
+                host.told = None;
                 host.met.clear();
             }
         }
@@ -529,7 +558,10 @@
         // One probe to four txns at the most, each a second at least where something is amiss.
         let asked = self.proxies.values().map(|proxy| proxy.joined_rate).sum::<f64>().max(1.0);
         let calm = (4_000.0 * on().count() as f64 / asked).clamp(PROBE_PERIOD, 8.0 * PROBE_PERIOD);
+        let told = on().filter_map(|host| host.told.filter(|told| now < told.1 + TOLD_FOR));
+        let usual_load = median(told.map(|told| told.0).collect());
         for (id, host) in self.hosts.iter_mut().filter(|(_, host)| host.standing == Standing::On) {
+            host.lighten(now, usual_load, self.cover, &self.warmup);
             let period = if host.gate.shut || host.gate.fails > 0 { PROBE_PERIOD } else { calm };
             if self.post.may_probe && now >= host.probed_at + period - 1.0 {
                 host.probed_at = now;
--- a/crates/steward/src/config.rs
+++ b/crates/steward/src/config.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 
 use crate::desk::{Labels, Make};
-use crate::list::Listing;
+use crate::heard::Listing;
 
 pub struct Config {
     pub name: String,
--- a/crates/steward/src/desk.rs
+++ b/crates/steward/src/desk.rs
@@ -10,61 +10,16 @@
 
 use amberarch_core::*;
 use amberarch_facts::Names;
+use amberarch_intake::Believed;
+use amberarch_intake_grpc::NamedHost;
 use slog::{error, info, warn, Logger};
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, Instant};
 
 use crate::counters::{Counters, Seldom};
+use crate::heard::{Ask, Encoded, Health, Heard, Listing, News, Out, Probe, Reply, Row};
 use crate::lines::Said;
-use crate::list::{Ask, Health, Listing, Row};
-use crate::news::News;
 use crate::orders;
-use crate::probe::Probe;
-use crate::relay::{Encoded, Reply};
-
-/// What the other tasks bring.
-#[derive(Debug)]
-pub enum Heard {
-    Sum(Said),
-    /// What stands follows: who was known and is not in it has left. With `anew`, who is in it may have
-    /// left and come back.
-    Standing {
-        anew: bool,
-    },
-    Stood,
-    News(News),
-    Listed(Listing),
-    ListFailed,
-    Probed {
-        host: HostId,
-        outcome: Outcome,
-        took: f64,
-        report: LoadReport,
-    },
-    /// The reply with this mark takes, or may take, one message more to each of its proxies.
-    Again {
-        mark: MarkId,
-    },
-    /// The relay refused an order for good; one that binds names its proxy.
-    NotTaken {
-        binds: Option<ProxyId>,
-    },
-}
-
-/// What ties a part to the rest: the way to the desk, the counters and the log.
-#[derive(Clone)]
-pub struct Ties {
-    pub desk: mpsc::Sender<Heard>,
-    pub counters: Rc<Counters>,
-    pub log: Logger,
-}
-
-/// Where orders go.
-pub struct Out {
-    pub relay: mpsc::Sender<Reply>,
-    pub list: mpsc::Sender<Ask>,
-    pub probes: mpsc::Sender<Probe>,
-}
 
 /// The names that lines and lists use, in the order of the settings.
 pub struct Labels {
@@ -195,6 +150,11 @@
         }
     }
 
+    /// When the clock of the decisions began.
+    pub fn start(&self) -> Instant {
+        self.start
+    }
+
     fn now(&self) -> f64 {
         self.start.elapsed().as_secs_f64() * 1e3
     }
@@ -261,7 +221,12 @@
             Heard::ListFailed => {
                 self.events.push(Event::List { news: ListNews::Failed, entries: vec![] });
             }
+            Heard::Loads(loads) => {
+                let event = |Believed { host, load, age, sure, .. }| Event::Load { host, load, age, sure };
+                self.events.extend(loads.into_iter().map(event));
+            }
             Heard::Probed { host, outcome, took, report } => {
+                self.seen(host, self.now());
                 self.events.push(Event::Probed { host, outcome, took, report });
             }
             Heard::Again { mark } => self.events.push(Event::Again { mark }),
@@ -298,6 +263,8 @@
             Said::Load { zone, host, tries, voided, mean, over, report } => {
                 let zone = place(&self.labels.zones, &zone).ok_or("a zone that is not known")?;
                 let host = self.names.find(&host).ok_or("a host that is not known")?;
+                // A sum stands for the middle of its time.
+                self.seen(host, self.now() - over / 2.0);
                 Ok(Event::Met { host, zone: ZoneId(zone), over, tries, voided, mean, report })
             }
             Said::Rate { proxy, product, txns, voided, over } => {
@@ -329,6 +296,24 @@
         }
         info!(self.log, "the list"; "seq" => listing.seq, "how" => ?news, "entries" => entries.len());
         self.events.push(Event::List { news, entries });
+        self.tell_list();
+    }
+
+    /// Tells the intake, where there is one, which hosts are listed.
+    fn tell_list(&self) {
+        let Some(witness) = &self.out.witness else { return };
+        let listed = self.hosts.values().map(|known| &known.listed);
+        let named = |listed: &Listed| {
+            let (host, zone, born) = (listed.host, listed.zone, listed.born);
+            Some(NamedHost { name: self.names.name(host)?.into(), host, zone, born })
+        };
+        witness.list(listed.filter(|listed| listed.standing != Standing::Gone).filter_map(named).collect());
+    }
+
+    fn seen(&self, host: HostId, at: f64) {
+        if let Some(witness) = &self.out.witness {
+            witness.seen(host, at);
+        }
     }
 
     fn entry(&mut self, row: &Row) -> Option<Listed> {
--- /dev/null
+++ b/crates/steward/src/heard.rs
@@ -0,0 +1,132 @@
+//! What the steward's parts say to each other: what they bring to the desk, and what the desk hands to them.
+//! Stands below both, so that no part needs another.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use amberarch_core::{HostId, LoadReport, MarkId, Outcome, ProxyId};
+use amberarch_intake::Believed;
+use amberarch_intake_grpc::Witness;
+use bytes::Bytes;
+use serde::Deserialize;
+use slog::Logger;
+use tokio::sync::mpsc;
+
+use crate::counters::Counters;
+use crate::lines::Said;
+
+/// What the other tasks bring.
+#[derive(Debug)]
+pub enum Heard {
+    Sum(Said),
+    /// What stands follows: who was known and is not in it has left. With `anew`, who is in it may have
+    /// left and come back.
+    Standing {
+        anew: bool,
+    },
+    Stood,
+    News(News),
+    Listed(Listing),
+    ListFailed,
+    /// What is believed of hosts' own loads now.
+    Loads(Vec<Believed>),
+    Probed {
+        host: HostId,
+        outcome: Outcome,
+        took: f64,
+        report: LoadReport,
+    },
+    /// The reply with this mark takes, or may take, one message more to each of its proxies.
+    Again {
+        mark: MarkId,
+    },
+    /// The relay refused an order for good; one that binds names its proxy.
+    NotTaken {
+        binds: Option<ProxyId>,
+    },
+}
+
+/// What ties a part to the rest: the way to the desk, the counters and the log.
+#[derive(Clone)]
+pub struct Ties {
+    pub desk: mpsc::Sender<Heard>,
+    pub counters: Rc<Counters>,
+    pub log: Logger,
+}
+
+/// Where orders go.
+pub struct Out {
+    pub relay: mpsc::Sender<Reply>,
+    pub list: mpsc::Sender<Ask>,
+    pub probes: mpsc::Sender<Probe>,
+    /// The intake's view of list, probes and sums, where an operator has switched the intake on.
+    pub witness: Option<Witness>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(tag = "type", content = "object")]
+pub enum News {
+    #[serde(rename = "SUBSCRIBE")]
+    Joined { proxy: u16, zone: String, weight: f64, fresh: bool },
+    #[serde(rename = "CLOSED")]
+    Left { proxy: u16 },
+    #[serde(rename = "ACK")]
+    Applied { proxy: u16, mark: u16, took_ms: f64 },
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub enum Health {
+    InService,
+    Terminating,
+    Terminated,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Row {
+    pub host: String,
+    pub dial: String,
+    pub site: String,
+    #[serde(default)]
+    pub class: String,
+    #[serde(default)]
+    pub block: u32,
+    pub health: Health,
+    #[serde(default)]
+    pub share: f64,
+    #[serde(default)]
+    pub born_ms: f64,
+}
+
+/// The list, or what changed in it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Listing {
+    pub seq: u64,
+    pub whole: bool,
+    pub hosts: Vec<Row>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ask {
+    Watch,
+    Unwatch,
+    Whole,
+}
+
+/// A probe to be sent.
+pub struct Probe {
+    pub host: HostId,
+    pub to: SocketAddr,
+}
+
+/// What the module ordered at one time, and the number of the mark in it.
+pub struct Reply {
+    pub orders: Vec<Encoded>,
+    pub mark: Option<MarkId>,
+}
+
+/// An order as the relay reads it, and the proxy that it binds.
+pub struct Encoded {
+    pub bytes: Bytes,
+    pub binds: Option<ProxyId>,
+}
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -1,9 +1,12 @@
 //! The steward on sockets: adapters round amberarch's decisions, each file with one job.
 
+pub mod command;
 pub mod config;
 pub mod counters;
 pub mod desk;
+pub mod heard;
 pub mod http;
+pub mod intake;
 pub mod lines;
 pub mod list;
 pub mod listen;
--- a/crates/steward/src/list.rs
+++ b/crates/steward/src/list.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-use serde::Deserialize;
 use slog::info;
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, Instant};
 
-use crate::desk::{Heard, Ties};
+use crate::heard::{Ask, Heard, Listing, Ties};
 use crate::http::{get, Dial, Fault, Kept};
 
 /// The protocol page: what a call brings counts as told 2 s after its wait is over, or after 6 s
@@ -18,45 +17,6 @@
 /// two calls guards discovery and the core against a list that answers at once again and again.
 const BETWEEN: Duration = Duration::from_millis(100);
 
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
-#[serde(rename_all = "snake_case")]
-pub enum Health {
-    InService,
-    Terminating,
-    Terminated,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-pub struct Row {
-    pub host: String,
-    pub dial: String,
-    pub site: String,
-    #[serde(default)]
-    pub class: String,
-    #[serde(default)]
-    pub block: u32,
-    pub health: Health,
-    #[serde(default)]
-    pub share: f64,
-    #[serde(default)]
-    pub born_ms: f64,
-}
-
-/// The list, or what changed in it.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Listing {
-    pub seq: u64,
-    pub whole: bool,
-    pub hosts: Vec<Row>,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Ask {
-    Watch,
-    Unwatch,
-    Whole,
-}
-
 pub struct Discovery<D> {
     pub line: Kept<D>,
     /// How long a call may wait for news.
--- a/crates/steward/src/listen.rs
+++ b/crates/steward/src/listen.rs
@@ -13,7 +13,7 @@
 use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::counters::{Count, Seldom};
-use crate::desk::{Heard, Ties};
+use crate::heard::{Heard, Ties};
 use crate::lines::{self, Bad, Ended, Lines, Said};
 
 /// The service page: what has not joined within 1 s of connecting may be closed, within 3 s it must be;
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -4,15 +4,21 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
+use amberarch_intake_grpc::Witness;
+use amberarch_operator::Operator;
+use amberarch_steward::command::{self, Command, Line};
 use amberarch_steward::config::{self, Addresses, Config};
 use amberarch_steward::counters::{Counters, Seldom};
-use amberarch_steward::desk::{Desk, Out, Ties};
+use amberarch_steward::desk::Desk;
+use amberarch_steward::heard::{Out, Ties};
 use amberarch_steward::http::{Kept, Tcp};
+use amberarch_steward::intake;
 use amberarch_steward::list::Discovery;
 use amberarch_steward::listen::{self, Inside};
 use amberarch_steward::news::Follow;
 use amberarch_steward::probe::Prober;
 use amberarch_steward::relay::Relay;
+use clap::Parser;
 use slog::{error, info, o, Drain, Logger};
 use slog_async::OverflowStrategy;
 use tokio::net::TcpListener;
@@ -24,6 +30,10 @@
 const ROOM: usize = 1_024;
 
 fn main() -> ExitCode {
+    let run = match Line::parse().command() {
+        Command::Run(run) => run,
+        Command::Check { file, json } => return command::check(&file, json),
+    };
     // A log that nobody reads loses lines; it holds nothing up.
     let plain = slog_term::PlainDecorator::new(std::io::stderr());
     let drain = slog_term::FullFormat::new(plain).use_utc_timestamp().build().ignore_res();
@@ -32,8 +42,8 @@
         .overflow_strategy(OverflowStrategy::Drop)
         .build_with_guard();
     let log = Logger::root(drain.fuse(), o!());
-    let config = match config::read() {
-        Ok(config) => config,
+    let (config, operator) = match config::read().and_then(|config| Ok((config, run.operator()?))) {
+        Ok(read) => read,
         Err(why) => {
             eprintln!("amberarch: {why}");
             return ExitCode::from(2);
@@ -46,7 +56,7 @@
             return ExitCode::from(2);
         }
     };
-    let ended = LocalSet::new().block_on(&runtime, serve(config, log.clone()));
+    let ended = LocalSet::new().block_on(&runtime, serve(config, operator, log.clone()));
     if let Err(why) = &ended {
         error!(log, "ends"; "why" => why);
     }
@@ -67,7 +77,7 @@
 }
 
 /// Everything that runs, until a signal ends it.
-async fn serve(config: Config, log: Logger) -> Result<(), String> {
+async fn serve(config: Config, operator: Operator, log: Logger) -> Result<(), String> {
     let make = config.make();
     let Config { name, listen, discovery, relay, sockets, known, labels, .. } = config;
     let Config { connect_within, ask_within, load_reports, seed, .. } = config;
@@ -93,10 +103,17 @@
     let (to_list, asks) = mpsc::channel(ROOM);
     let (to_probes, probes) = mpsc::channel(ROOM);
     let (to_ready, can_serve) = watch::channel(false);
-    let out = Out { relay: to_relay, list: to_list, probes: to_probes };
+    let witness = operator.intake.as_ref().map(|_| Witness::default());
+    let out = Out { relay: to_relay, list: to_list, probes: to_probes, witness: witness.clone() };
     let the_desk = Desk::new((make, seed), labels, known, unix_ms, out, counters.clone(), log.clone());
 
     let ties = Ties { desk, counters: counters.clone(), log: log.clone() };
+    let loads = match operator.intake.zip(witness) {
+        Some((section, witness)) => {
+            Some(intake::start(&section, the_desk.start(), unix_ms(), witness, ties.clone())?)
+        }
+        None => None,
+    };
     let (to_discovery, at_discovery) = watch::channel(discovery);
     let (to_the_relay, at_the_relay) = watch::channel(relay);
     let line = |peer| Kept::new(Tcp, peer, connect_within);
@@ -122,11 +139,14 @@
     parts.spawn_local(list.run(asks, seq));
     parts.spawn_local(prober.run(probes));
     parts.spawn_local(listen::run(listener, sockets / 2, inside));
-    let shown = counters.clone();
+    let (shown, loads_shown) = (counters.clone(), loads.clone());
     let usr1_log = log.clone();
     spawn_local(async move {
         while usr1.recv().await.is_some() {
             info!(usr1_log, "counters: {}", shown);
+            if let Some(loads) = &loads_shown {
+                info!(usr1_log, "intake: {}", loads);
+            }
         }
     });
     let (reloads, hup_log) = (counters.clone(), log.clone());
@@ -152,5 +172,8 @@
         part = parts.join_next() => Err(format!("a part ended: {part:?}")),
     };
     info!(log, "counters: {}", counters);
+    if let Some(loads) = &loads {
+        info!(log, "intake: {}", loads);
+    }
     ended
 }
--- a/crates/steward/src/news.rs
+++ b/crates/steward/src/news.rs
@@ -7,13 +7,12 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::StatusCode;
-use serde::Deserialize;
 use slog::{info, warn};
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 use crate::counters::Seldom;
-use crate::desk::{Heard, Ties};
+use crate::heard::{Heard, Ties};
 use crate::http::{get, limited, Dial, Fault, Line, Whereabouts};
 
 /// The protocol page: every second a sign of life comes; times are 300 ms longer on sockets.
@@ -26,17 +25,6 @@
 /// The protocol page: a message holds at most 1 MiB.
 const MOST_BYTES: usize = 1 << 20;
 
-#[derive(Debug, Deserialize)]
-#[serde(tag = "type", content = "object")]
-pub enum News {
-    #[serde(rename = "SUBSCRIBE")]
-    Joined { proxy: u16, zone: String, weight: f64, fresh: bool },
-    #[serde(rename = "CLOSED")]
-    Left { proxy: u16 },
-    #[serde(rename = "ACK")]
-    Applied { proxy: u16, mark: u16, took_ms: f64 },
-}
-
 /// A watch that stands.
 struct Watch {
     at: SocketAddr,
--- a/crates/steward/src/probe.rs
+++ b/crates/steward/src/probe.rs
@@ -4,24 +4,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amberarch_core::{HostId, LoadReport, Outcome};
+use amberarch_core::{LoadReport, Outcome};
 use hyper::StatusCode;
 use serde_json::Value;
 use slog::debug;
 use tokio::sync::{mpsc, Semaphore};
 use tokio::time::Instant;
 
-use crate::desk::{Heard, Ties};
+use crate::heard::{Heard, Probe, Ties};
 use crate::http::{get, Dial, Fault, Line, Tcp};
 
 /// The design page: a probe has 0.3 s to be answered.
 const ANSWER: Duration = Duration::from_millis(300);
 
-pub struct Probe {
-    pub host: HostId,
-    pub to: SocketAddr,
-}
-
 #[derive(Clone)]
 pub struct Prober {
     pub path: &'static str,
--- a/crates/steward/src/relay.rs
+++ b/crates/steward/src/relay.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::counters::Seldom;
-use crate::desk::{Heard, Ties};
+use crate::heard::{Encoded, Heard, Reply, Ties};
 use crate::http::{post, Dial, Fault, Kept};
 
 /// The protocol page: an answer comes within 50 ms or never. Between attempts as long is waited.
@@ -24,18 +24,6 @@
 const AGAIN: Duration = Duration::from_millis(500);
 const AGAIN_MOST: Duration = Duration::from_millis(1_500);
 
-/// What the module ordered at one time, and the number of the mark in it.
-pub struct Reply {
-    pub orders: Vec<Encoded>,
-    pub mark: Option<MarkId>,
-}
-
-/// An order as the relay reads it, and the proxy that it binds.
-pub struct Encoded {
-    pub bytes: Bytes,
-    pub binds: Option<ProxyId>,
-}
-
 /// What a call is answered; what has another type, or says neither, can't be read.
 #[derive(Deserialize)]
 struct Answer {
--- a/crates/steward/tests/steward/desk.rs
+++ b/crates/steward/tests/steward/desk.rs
@@ -1,10 +1,9 @@
 use std::time::Duration;
 
 use amberarch_core::*;
-use amberarch_steward::desk::{Desk, Heard, Labels, Make, Out};
+use amberarch_steward::desk::{Desk, Labels, Make};
+use amberarch_steward::heard::{Health, Heard, Listing, News, Out, Row};
 use amberarch_steward::lines::Said;
-use amberarch_steward::list::{Health, Listing, Row};
-use amberarch_steward::news::News;
 use expect_test::expect;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
@@ -74,7 +73,7 @@
             row("s-x", "127.0.0.3:3000", "nowhere", Health::InService, 0.0),
         ];
         let known = Listing { seq: 41, whole: true, hosts: whole };
-        let (out, ties) = (Out { relay, list, probes }, ties(&trace));
+        let (out, ties) = (Out { relay, list, probes, witness: None }, ties(&trace));
         let desk = Desk::new((make, 5), labels, known, || 1e12, out, ties.counters.clone(), ties.log.clone());
         let (to, from) = mpsc::channel(64);
         let seen = trace.clone();
--- a/crates/steward/tests/steward/list.rs
+++ b/crates/steward/tests/steward/list.rs
@@ -1,6 +1,7 @@
 use crate::peers::{for_ms, moves, ties, Dialled, Peer, Then};
+use amberarch_steward::heard::Ask;
 use amberarch_steward::http::Kept;
-use amberarch_steward::list::{Ask, Discovery};
+use amberarch_steward::list::Discovery;
 use expect_test::expect;
 use std::time::Duration;
 use tokio::sync::mpsc;
--- a/crates/steward/tests/steward/peers.rs
+++ b/crates/steward/tests/steward/peers.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use amberarch_steward::counters::Counters;
-use amberarch_steward::desk::{Heard, Ties};
+use amberarch_steward::heard::{Heard, Ties};
 use amberarch_steward::http::{Dial, Whereabouts};
 use slog::{o, Discard, Logger};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, DuplexStream};
--- a/crates/steward/tests/steward/relay.rs
+++ b/crates/steward/tests/steward/relay.rs
@@ -1,7 +1,8 @@
 use crate::peers::{for_ms, moves, ties, Dialled, Peer, Then};
 use amberarch_core::{MarkId, ProxyId};
+use amberarch_steward::heard::{Encoded, Reply};
 use amberarch_steward::http::Kept;
-use amberarch_steward::relay::{Encoded, Relay, Reply};
+use amberarch_steward::relay::Relay;
 use expect_test::expect;
 use std::time::Duration;
 use tokio::sync::mpsc;
