--- a/crates/intake-grpc/build.rs
+++ b/crates/intake-grpc/build.rs
@@ -3,6 +3,6 @@
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     println!("cargo:rerun-if-changed=proto/load.proto");
     let files = protox::compile(["proto/load.proto"], ["proto"])?;
-    tonic_prost_build::configure().build_transport(true).compile_fds(files)?;
+    tonic_prost_build::configure().compile_fds(files)?;
     Ok(())
 }
