--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -109,6 +109,12 @@
         self.sums.push(Event::Came { proxy, product, txns, voided: 0, over: 1_000.0 });
     }
 
+    /// What hosts are believed to carry, observed so long ago.
+    pub fn loads(&mut self, loads: &[(u32, f64)], age: f64, sure: f64) {
+        let load = |(host, load): &(u32, f64)| Event::Load { host: HostId(*host), load: *load, age, sure };
+        self.sums.extend(loads.iter().map(load));
+    }
+
     /// So many proxies answer all marks so far.
     pub fn catch_up(&mut self, proxies: u16) {
         for mark in 0..40 {
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -694,3 +694,62 @@
     "#]]
     .assert_eq(&fleet.trace);
 }
+
+/// Sums would show it two periods later. Back up it comes by sums.
+#[test]
+fn a_host_that_tells_of_twice_the_others_load_is_eased_before_sums_come() {
+    let mut fleet = Fleet::new(1, 4);
+    fleet.join(0);
+    fleet.run(5);
+    fleet.trace.clear();
+    for _ in 0..10 {
+        fleet.loads(&[(0, 2.4), (1, 0.5), (2, 0.6), (3, 0.9)], 100.0, 1.0);
+        fleet.run(5);
+    }
+    expect![[r#"
+        2200 t0 host0 weight 0.75
+        6200 t0 host0 weight 0.5625
+        10200 t0 host0 weight 0.421875
+    "#]]
+    .assert_eq(&fleet.trace);
+}
+
+/// Guards against reports that speak for themselves alone: none of these eases, gates or lifts.
+#[test]
+fn loads_that_are_unsure_old_overtaken_or_alike_change_nothing() {
+    let mut fleet = Fleet::new(1, 4);
+    fleet.join(0);
+    fleet.run(5);
+    fleet.probes(2, &[Outcome::Unreachable, Outcome::Unreachable, Outcome::Unreachable]);
+    fleet.trace.clear();
+    fleet.note("unsure");
+    fleet.loads(&[(0, 9.0), (1, 0.5), (2, 0.5), (3, 0.5)], 100.0, 0.4);
+    fleet.run(2);
+    fleet.note("old");
+    fleet.loads(&[(0, 9.0), (1, 0.5), (2, 0.5), (3, 0.5)], 2_100.0, 1.0);
+    fleet.run(2);
+    fleet.note("a probe came later");
+    fleet.loads(&[(0, 9.0), (1, 0.5), (2, 0.5), (3, 0.5)], 100.0, 1.0);
+    let (host, report) = (HostId(0), LoadReport::default());
+    fleet.say(&[Event::Probed { host, outcome: Outcome::Answered, took: 2.0, report }]);
+    fleet.run(2);
+    fleet.note("a sum came later");
+    fleet.loads(&[(0, 9.0), (1, 0.5), (2, 0.5), (3, 0.5)], 900.0, 1.0);
+    fleet.met(0, 0, 10, 0, 100.0);
+    fleet.run(2);
+    fleet.note("all alike");
+    fleet.loads(&[(0, 9.0), (1, 8.0), (2, 9.0), (3, 8.5)], 100.0, 1.0);
+    fleet.run(2);
+    fleet.note("a gated host says that it is idle");
+    fleet.loads(&[(2, 0.0)], 0.0, 1.0);
+    fleet.run(20);
+    expect![[r#"
+        5000 unsure
+        5400 old
+        5800 a probe came later
+        6200 a sum came later
+        6600 all alike
+        7000 a gated host says that it is idle
+    "#]]
+    .assert_eq(&fleet.trace);
+}
--- a/crates/steward/tests/steward/desk.rs
+++ b/crates/steward/tests/steward/desk.rs
@@ -1,6 +1,8 @@
 use std::time::Duration;
 
 use amberarch_core::*;
+use amberarch_intake::Believed;
+use amberarch_intake_grpc::Witness;
 use amberarch_steward::desk::{Desk, Labels, Make};
 use amberarch_steward::heard::{Health, Heard, Listing, News, Out, Row};
 use amberarch_steward::lines::Said;
@@ -57,6 +59,10 @@
 }
 
 fn told(heard: Vec<(u64, Heard)>) -> String {
+    told_beside(heard, None)
+}
+
+fn told_beside(heard: Vec<(u64, Heard)>, witness: Option<Witness>) -> String {
     for_ms(10_000, |trace| async move {
         let (relay, mut replies) = mpsc::channel(64);
         let (list, mut asks) = mpsc::channel(64);
@@ -73,7 +79,7 @@
             row("s-x", "127.0.0.3:3000", "nowhere", Health::InService, 0.0),
         ];
         let known = Listing { seq: 41, whole: true, hosts: whole };
-        let (out, ties) = (Out { relay, list, probes, witness: None }, ties(&trace));
+        let (out, ties) = (Out { relay, list, probes, witness }, ties(&trace));
         let desk = Desk::new((make, 5), labels, known, || 1e12, out, ties.counters.clone(), ties.log.clone());
         let (to, from) = mpsc::channel(64);
         let seen = trace.clone();
@@ -299,3 +305,48 @@
         500 seed 5: Probed { host: HostId(0), outcome: Answered, took: 1.0, report: LoadReport { in_hand: None, waiting: None, busy: None, service: None } }
     "#]].assert_eq(&trace);
 }
+
+/// The intake is told which hosts are listed, and when a probe or a sum was observed; what it believes becomes
+/// events of the same moment.
+#[test]
+fn the_intake_hears_of_list_probes_and_sums_and_its_beliefs_are_decided_on() {
+    let witness = Witness::default();
+    let listing = Listing {
+        seq: 42,
+        whole: false,
+        hosts: vec![
+            row("s-1", "127.0.0.4:3000", "b", Health::InService, 1e12 - 4_000.0),
+            row("s-2", "no address", "b", Health::Terminated, 0.0),
+        ],
+    };
+    let probed = |outcome| {
+        let (host, report) = (HostId(0), LoadReport::default());
+        Heard::Probed { host, outcome, took: 2.0, report }
+    };
+    let met = Said::Load {
+        zone: "b".into(),
+        host: "s-1".into(),
+        tries: 4,
+        voided: 0,
+        mean: 3.0,
+        over: 100.0,
+        report: LoadReport::default(),
+    };
+    let believed = Believed { host: HostId(1), load: 1.25, age: 80.0, sure: 1.0, waited: 40.0 };
+    let trace = told_beside(
+        vec![
+            (100, Heard::Listed(listing)),
+            (200, probed(Outcome::Answered)),
+            (300, Heard::Sum(met)),
+            (400, Heard::Loads(vec![believed])),
+        ],
+        Some(witness.clone()),
+    );
+    assert!(trace.contains("Load { host: HostId(1), load: 1.25, age: 80.0, sure: 1.0 }"), "{trace}");
+    let told = witness.take();
+    let listed: Vec<String> =
+        told.list.into_iter().flatten().map(|host| format!("{} {:?}", host.name, host.born)).collect();
+    assert_eq!(listed, ["s-0 None", "s-1 Some(-3900.0)"]);
+    // A sum stands for the middle of its time.
+    assert_eq!(told.seen, [(HostId(0), 200.0), (HostId(1), 250.0)].into());
+}
