--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -261,6 +261,18 @@
         age: f64,
         sure: f64,
     },
+    /// A level of reduced service holds in a zone: of the product no more than that share is let in, and tried no
+    /// more often. It stands until the next for the same pair.
+    Bound {
+        zone: ZoneId,
+        product: ProductId,
+        share: f64,
+        tries: Tries,
+    },
+    /// What proxies hold of levels is not known yet: while it is on, no level is ordered.
+    Await {
+        on: bool,
+    },
     Applied {
         proxy: ProxyId,
         mark: MarkId,
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -65,6 +65,9 @@
     pub sums: Sums,
     /// From an order to the proxies.
     pub transit: f64,
+    /// The part of those who are turned away or left without an answer that comes again, after that long, and
+    /// so often at the most.
+    pub again: (f64, f64, u8),
 }
 
 impl Shape {
@@ -96,11 +99,27 @@
             warmup: Warmup { from: 0.2, within: 15_000.0, multiple: 3.0, fall_after: 2_000.0 },
             sums: Sums { every: 2_000.0, lines_per_s: 1_000.0 },
             transit: 200.0,
+            again: (0.0, 0.0, 0),
+        }
+    }
+
+    /// An election night: detail pages, results pages and tally submits, clients that ask again, proxies that take
+    /// levels.
+    pub fn election() -> Shape {
+        let usual = Shape::usual();
+        let (pages, submits) = (usual.products[0].0.clone(), usual.products[1].0.clone());
+        let details = Product { revenue: 0.3, ..pages.clone() };
+        Shape {
+            products: vec![(details, 0.5, 60.0), (pages, 0.4, 60.0), (submits, 0.1, 90.0)],
+            levels: LevelKind::Share,
+            lasts: 240_000.0,
+            again: (0.6, 2_000.0, 3),
+            ..usual
         }
     }
 
     /// All txns a second.
-    pub fn rate(&self) -> f64 {
+    pub(crate) fn rate(&self) -> f64 {
         let work: f64 = self.products.iter().map(|(_, part, work)| part * work).sum();
         1_000.0 * f64::from(self.hosts * self.cores) * self.use_of_cores / work
     }
@@ -150,9 +169,27 @@
     pub twice: u32,
 }
 
+/// Of one product, what came in ten seconds, by when it came first.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Window {
+    pub offered: f64,
+    pub earned: f64,
+    /// Let in, and answered within the SLA time.
+    pub let_in: u32,
+    pub in_time: u32,
+}
+
+pub const WINDOW: f64 = 10_000.0;
+
 #[derive(Clone, Debug, Default)]
 pub struct Day {
     pub fates: Vec<Fate>,
+    /// Ten seconds after ten seconds, by product.
+    pub windows: Vec<Vec<Window>>,
+    /// What the decisions had to say, and when.
+    pub said: Vec<(f64, String)>,
+    /// Orders that went to proxies.
+    pub lines: u64,
     /// Revenue earned, and what all that came could have earned.
     pub earned: f64,
     pub offered: f64,
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -1,10 +1,13 @@
 //! The day itself: what happens when, in order of time.
 
+use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
+use std::rc::Rc;
 
 use amberarch_core::*;
 use amberarch_intake as intake;
+use amberarch_service_levels::{Ladder, Levelled, ServiceLevels};
 use intake::{Batch, Boot, Echo, Intake, ListedHost, Report, ReporterId, Seq};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -12,7 +15,7 @@
 
 use crate::host::{Host, Offer};
 use crate::proxy::Proxy;
-use crate::{Day, Fate, Fault, Reports, Shape, Trouble, TxnId};
+use crate::{Day, Fate, Fault, Reports, Shape, Trouble, TxnId, Window, WINDOW};
 
 /// One way between two machines.
 const PATH: f64 = 1.0;
@@ -22,25 +25,67 @@
 const TICK: f64 = 200.0;
 
 enum What {
-    Arrive { proxy: u16, product: u16 },
-    Reach { txn: TxnId, host: HostId },
-    Done { txn: TxnId, host: HostId, starts: u32 },
-    Expire { txn: TxnId },
-    Heard { front: usize, proxy: ProxyId, orders: std::rc::Rc<Vec<Order>> },
-    Tell { front: usize, event: Event },
+    Arrive {
+        proxy: u16,
+        product: u16,
+    },
+    /// A client that got nothing asks again.
+    Again {
+        proxy: ProxyId,
+        product: ProductId,
+        first: f64,
+        work: f64,
+        asked: u8,
+    },
+    Reach {
+        txn: TxnId,
+        host: HostId,
+    },
+    Done {
+        txn: TxnId,
+        host: HostId,
+        starts: u32,
+    },
+    Expire {
+        txn: TxnId,
+    },
+    Heard {
+        front: usize,
+        proxy: ProxyId,
+        orders: Rc<Vec<Order>>,
+    },
+    Tell {
+        front: usize,
+        event: Event,
+    },
     TellAll(Event),
     Sums,
-    Reported { front: usize, host: HostId },
-    Reports { front: usize, host: HostId, sent: f64, echo: Option<Echo>, report: Option<Report> },
+    Reported {
+        front: usize,
+        host: HostId,
+    },
+    Reports {
+        front: usize,
+        host: HostId,
+        sent: f64,
+        echo: Option<Echo>,
+        report: Option<Report>,
+    },
     Tick,
     Sample,
-    Fault { place: usize, begins: bool },
+    Fault {
+        place: usize,
+        begins: bool,
+    },
 }
 
 struct Txn {
     proxy: ProxyId,
     product: ProductId,
     came: f64,
+    /// When its client first asked, and how often it has.
+    first: f64,
+    asked: u8,
     work: f64,
     /// Where in the weights its first and its second try fall.
     chances: [f64; 2],
@@ -178,6 +223,15 @@
         }
     }
 
+    /// With named levels before the first steward's decisions; `acts` false only looks.
+    pub fn levelled(mut self, ladder: Ladder, acts: bool) -> World {
+        let products = self.shape.products.iter().map(|(product, ..)| product.clone()).collect();
+        let levels = ServiceLevels::new(ladder, self.shape.zones, products, &self.shape.sums, acts);
+        let inner = self.shape.steward(self.seed);
+        self.fronts[0].steward = Box::new(Levelled::new(inner, Rc::new(RefCell::new(levels))));
+        self
+    }
+
     /// One more steward that sees this day as the first does, but for its own reports, and steers nothing: how
     /// its tables differ is told apart from what other tables would have made of the day.
     pub fn beside(mut self, reports: Reports) -> World {
@@ -289,6 +343,9 @@
     fn happen(&mut self, what: What) {
         match what {
             What::Arrive { proxy, product } => self.arrive(proxy, product),
+            What::Again { proxy, product, first, work, asked } => {
+                self.come(proxy, product, first, work, asked)
+            }
             What::Reach { txn, host } => self.reach(txn, host),
             What::Done { txn, host, starts } => self.done(txn, host, starts),
             What::Expire { txn } => self.end(txn, None),
@@ -314,45 +371,60 @@
                 _ => 1.0,
             })
             .product();
-        let (of, _, work) = &self.shape.products[usize::from(product)];
-        let (expiry, work) = (of.expiry, Exp::new(1.0 / work).expect("work of some length"));
+        let work = Exp::new(1.0 / self.shape.products[usize::from(product)].2).expect("work of some length");
         let rate = times * self.proxies()[usize::from(proxy)].rates[usize::from(product)] / 1e3;
         let source = &mut self.chances[usize::from(proxy)];
         let wait = Exp::new(rate).expect("txns at some rate").sample(source);
         let work = work.sample(source);
-        let picks = &mut self.picks[usize::from(proxy)];
-        let (admitted, chances): (f64, [f64; 2]) = (picks.random(), [picks.random(), picks.random()]);
         self.at(self.now + wait, What::Arrive { proxy, product });
         let (proxy, product) = (ProxyId(proxy), ProductId(product));
+        let revenue = self.shape.products[usize::from(product.0)].0.revenue;
+        self.day.offered += revenue;
+        self.window(product, self.now).offered += revenue;
+        self.come(proxy, product, self.now, work, 0);
+    }
+
+    fn window(&mut self, product: ProductId, first: f64) -> &mut Window {
+        let (place, products) = ((first / WINDOW) as usize, self.shape.products.len());
+        if self.day.windows.len() <= place {
+            self.day.windows.resize(place + 1, vec![Window::default(); products]);
+        }
+        &mut self.day.windows[place][usize::from(product.0)]
+    }
+
+    fn come(&mut self, proxy: ProxyId, product: ProductId, first: f64, work: f64, asked: u8) {
+        let picks = &mut self.picks[usize::from(proxy.0)];
+        let (admitted, chances): (f64, [f64; 2]) = (picks.random(), [picks.random(), picks.random()]);
         let id = TxnId(self.next);
         self.next += 1;
         self.day.fates[usize::from(product.0)].came += 1;
-        self.day.offered += self.shape.products[usize::from(product.0)].0.revenue;
         self.came.entry((proxy.0, product.0)).or_default().tries += 1;
         let (level, _) = self.proxies()[usize::from(proxy.0)].level(product);
         // Answered at once: it is told to come back, and nothing of it is sent.
         if self.shape.levels == LevelKind::Share && admitted >= level {
             self.day.fates[usize::from(product.0)].declined += 1;
-            return;
+            return self.ask_again(proxy, product, first, work, asked);
         }
         let (came, tried, under_way) = (self.now, None, None);
-        let txn = Txn {
-            proxy,
-            product,
-            came,
-            work,
-            chances,
-            tried,
-            under_way,
-            again: false,
-            ran: false,
-            open: true,
-        };
+        let (again, ran, open) = (false, false, true);
+        let txn =
+            Txn { proxy, product, came, first, asked, work, chances, tried, under_way, again, ran, open };
         self.txns.insert(id, txn);
+        self.window(product, first).let_in += 1;
+        let expiry = self.shape.products[usize::from(product.0)].0.expiry;
         self.at(self.now + expiry, What::Expire { txn: id });
         self.send(id);
     }
 
+    /// Some of those who got nothing come again. A once-only txn that may have run is not asked for again.
+    fn ask_again(&mut self, proxy: ProxyId, product: ProductId, first: f64, work: f64, asked: u8) {
+        let (part, after, most) = self.shape.again;
+        if asked < most && self.picks[usize::from(proxy.0)].random::<f64>() < part {
+            let asked = asked + 1;
+            self.at(self.now + after, What::Again { proxy, product, first, work, asked });
+        }
+    }
+
     fn send(&mut self, id: TxnId) {
         let Some(txn) = self.txns.get_mut(&id) else { return };
         let proxy = &self.fronts[0].proxies[usize::from(txn.proxy.0)];
@@ -428,24 +500,30 @@
     fn end(&mut self, id: TxnId, took: Option<f64>) {
         let Some(txn) = self.txns.get_mut(&id).filter(|txn| txn.open) else { return };
         txn.open = false;
-        let (of, ..) = &self.shape.products[usize::from(txn.product.0)];
-        let fate = &mut self.day.fates[usize::from(txn.product.0)];
-        match took {
-            Some(took) if took <= of.sla => {
-                (fate.in_time, self.day.earned) = (fate.in_time + 1, self.day.earned + of.revenue)
-            }
-            Some(_) => {
-                (fate.late, self.day.earned) = (fate.late + 1, self.day.earned + of.revenue * of.late_part)
-            }
-            None => fate.voided += 1,
-        }
+        let (proxy, product, first, asked, work) = (txn.proxy, txn.product, txn.first, txn.asked, txn.work);
+        let (ran, under_way) = (txn.ran, txn.under_way);
+        let of = self.shape.products[usize::from(product.0)].0.clone();
+        let (earned, in_time) = match took {
+            Some(took) if took <= of.sla => (of.revenue, 1),
+            Some(_) => (of.revenue * of.late_part, 0),
+            None => (0.0, 0),
+        };
+        let fate = &mut self.day.fates[usize::from(product.0)];
+        fate.in_time += in_time;
+        fate.late += u32::from(took.is_some()) - in_time;
+        fate.voided += u32::from(took.is_none());
+        self.day.earned += earned;
+        let window = self.window(product, first);
+        (window.earned, window.in_time) = (window.earned + earned, window.in_time + in_time);
         if took.is_none() {
-            let (zone, key) =
-                (self.fronts[0].proxies[usize::from(txn.proxy.0)].zone, (txn.proxy.0, txn.product.0));
-            self.came.entry(key).or_default().voided += 1;
-            if let Some(host) = txn.under_way {
+            let zone = self.proxies()[usize::from(proxy.0)].zone;
+            self.came.entry((proxy.0, product.0)).or_default().voided += 1;
+            if let Some(host) = under_way {
                 self.met.entry((zone, host)).or_default().voided += 1;
             }
+            if !(ran && of.effect == Effect::OnceOnly) {
+                self.ask_again(proxy, product, first, work, asked);
+            }
         }
     }
 
@@ -483,12 +561,16 @@
                 }
                 Order::Probe { host } => self.probe(front, host),
                 Order::Watch { .. } | Order::Fetch | Order::Forget { .. } => {}
+                Order::Log { text } if front == 0 => self.day.said.push((self.now, text)),
                 Order::Log { .. } | Order::Tell { .. } => {}
                 order => sent.push(order),
             }
         }
+        if front == 0 {
+            self.day.lines += sent.len() as u64;
+        }
         if !sent.is_empty() {
-            let orders = std::rc::Rc::new(sent);
+            let orders = Rc::new(sent);
             for proxy in (0..self.shape.proxies).map(ProxyId) {
                 let orders = orders.clone();
                 self.at(self.now + self.shape.transit, What::Heard { front, proxy, orders });
--- a/crates/intake/benches/structures.rs
+++ b/crates/intake/benches/structures.rs
@@ -35,7 +35,9 @@
             b.iter(|| {
                 now += 100.0;
                 reports.iter().for_each(|host| wheel.set(*host, now + FRESH));
-                wheel.advance(now, |host| drop(black_box(host)));
+                wheel.advance(now, |host| {
+                    black_box(host);
+                });
             });
         });
         group.bench_function(BenchmarkId::new("btreemap", count), |b| {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -105,8 +105,8 @@
     }
 }
 
-/// Half as much waits as runs, and twice the median host's load: of nine pairs tried on emulated days with and
-/// without slow hosts, the one that eases no host on a steady day and most of those that are overrun.
+/// Half as much waits as runs, and twice the median host's load: of nine pairs tried on emulated days, the one
+/// that eases no host on a steady day and most of those that are overrun.
 pub const FULL_LOAD: f64 = 1.5;
 pub const BESIDE: f64 = 2.0;
 /// So long a told load stands, and so surely it must be known.
@@ -367,6 +367,9 @@
     /// The part of its weight that a zone's host has in another zone's table, by (table, hosts).
     spill: BTreeMap<(ZoneId, ZoneId), f64>,
     levels: BTreeMap<ZoneId, Level>,
+    /// What a level of reduced service lets in; until it is known what is in force, none is ordered.
+    bounds: BTreeMap<(ZoneId, ProductId), (f64, Tries)>,
+    awaits: bool,
     usual_voided: f64,
     best: f64,
     present: Plan,
@@ -420,7 +423,8 @@
             sent: VecDeque::new(), marks: 0, cover: 0.0, best: 0.0, room: 0.0, failures: 0, ask_at: f64::MIN,
             spill: BTreeMap::new(), present: Plan::default(), fresh: true, urgent: false, strained: false,
             levels: BTreeMap::new(), hosts: BTreeMap::new(), proxies: BTreeMap::new(), usual_voided: 0.0,
-            summed_at: f64::MIN, planned_at: f64::MIN, still_until: f64::MIN,
+            bounds: BTreeMap::new(), awaits: false, summed_at: f64::MIN, planned_at: f64::MIN,
+            still_until: f64::MIN,
         }
     }
 
@@ -480,6 +484,10 @@
                     host.busy = host.told.map(|told| told.0).or(host.busy);
                 }
             }
+            Event::Bound { zone, product, share, tries } => {
+                self.bounds.insert((*zone, *product), (*share, *tries));
+            }
+            Event::Await { on } => self.awaits = *on,
             Event::Applied { proxy, mark, .. } => {
                 if let Some(place) = self.sent.iter().position(|sent| sent.0 == *mark) {
                     self.sent.drain(..place);
@@ -717,7 +725,8 @@
         for ask in asks {
             let cut = f64::min(shed, f64::max(0.9, 1.0 - most) * ask.work);
             shed -= cut;
-            let share = 1.0 - cut / ask.work.max(1e-9);
+            let (bound, bound_tries) = self.bounds.get(&(zone, ask.id)).copied().unwrap_or((1.0, tries));
+            let (share, tries) = (bound.min(1.0 - cut / ask.work.max(1e-9)), tries.min(bound_tries));
             let level = match self.sidecars.levels {
                 LevelKind::Off => 1.0,
                 LevelKind::Rate if share > 0.98 => 1e6,
@@ -793,7 +802,7 @@
                 present.held.remove(&host);
             }
         }
-        for (&(tbl, products), &(level, tries)) in &wanted.levels {
+        for (&(tbl, products), &(level, tries)) in wanted.levels.iter().filter(|_| !self.awaits) {
             let order = Order::Admit { tbl: number(tbl), products, level, tries };
             let differs = present.levels.get(&(tbl, products)) != Some(&(level, tries));
             let whom = users.get(&tbl).map_or(&[][..], Vec::as_slice);
