--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,7 @@
 mod chart;
 mod intake;
 mod intake_error;
+mod levels;
 mod process;
 mod reporters;
 
@@ -81,9 +82,10 @@
     Other(String),
 }
 
-const EXPERIMENTS: [(&str, &str); 2] = [
+const EXPERIMENTS: [(&str, &str); 3] = [
     ("intake", "reports of 5,000 hosts over loopback into one daemon: rate, core, memory, times"),
     ("intake-error", "tables and service on the emulator with full, sampled and no reports"),
+    ("levels", "election nights on the emulator: no levels, the module's own, named levels"),
 ];
 
 fn main() -> ExitCode {
@@ -95,6 +97,7 @@
         Command::Run { name, how } => match name.as_str() {
             "intake" => intake::run(&how),
             "intake-error" => intake_error::run(&how),
+            "levels" => levels::run(&how),
             _ => Err(Fault::Other(format!("no experiment is named {name}; `amberarch-lab list` names them"))),
         },
         Command::Reporters(crowd) => reporters::run(crowd).map(|()| true),
--- a/crates/service-levels/src/lib.rs
+++ b/crates/service-levels/src/lib.rs
@@ -20,8 +20,8 @@
 pub use plan::{best, earned, greedy, Capacities, Demand, Demands, Shares};
 pub use signals::{Seen, Signals};
 
-/// Levels are looked at once in so long: sums come no oftener.
-const LOOK: f64 = 1_000.0;
+/// Levels are looked at once in so long: a small part of the periods of sums, so that it adds little to them.
+const LOOK: f64 = 400.0;
 /// Shares that differ by less write no orders.
 const SHIFT: f64 = 0.04;
 /// After a start with proxies that hold what an earlier steward told them: so many rounds show what that is.
@@ -31,13 +31,13 @@
 /// Within this of all, nothing is shed.
 const WHOLE: f64 = 0.93;
 /// Work planned up to this part of what a zone has shown that it can do.
-const FILLED: f64 = 0.95;
+const FILLED: f64 = 0.85;
 /// From this pressure on, what gets done is all that can be; under the lower one there may be room for more.
-const FULL: f64 = 0.9;
-const EASY: f64 = 0.6;
-/// What is taken for possible falls to what gets done, by a quarter in a round at most, and grows by a twelfth.
+const FULL: f64 = 0.65;
+const EASY: f64 = 0.45;
+/// What is taken for possible falls to what gets done, by a quarter in a round at most; it grows by what the
+/// pressure is under the lower one, so that what was learnt while hosts died is soon unlearnt.
 const FALL: f64 = 0.75;
-const RISE: f64 = 1.08;
 
 /// What a zone's hosts can do for each unit of open weight, as far as it was seen.
 #[derive(Clone, Copy, Debug, Default)]
@@ -278,7 +278,7 @@
             room.per_weight = match room.per_weight {
                 None if pressure >= FULL => Some(done),
                 Some(known) if pressure >= FULL => Some(known.min(done.max(FALL * known))),
-                Some(known) if pressure < EASY && shed => Some(done.max(RISE * known)),
+                Some(known) if pressure < EASY && shed => Some(done.max((1.0 + EASY - pressure) * known)),
                 Some(known) if pressure < EASY => Some(done.max(known)),
                 other => other,
             };
