--- a/crates/service-levels/src/machine.rs
+++ b/crates/service-levels/src/machine.rs
@@ -11,8 +11,10 @@
 
 /// At most one change in so long, but for one emergency.
 pub const BETWEEN: f64 = 30_000.0;
-/// So many rounds must bear a condition out: one sum that is late or spoilt enters nothing.
+/// So many rounds must bear a condition out: one sum that is late or spoilt enters nothing. A round is half of all
+/// that tells of a zone, so one is enough where it is over by half of the value again.
 const ROUNDS: u32 = 2;
+const FAR: f64 = 1.5;
 /// What is not known for so long bears nothing out any more.
 const FORGET: f64 = 10_000.0;
 /// A zone with less of all that comes cannot bring the fleet down a level.
@@ -71,6 +73,7 @@
     last: f64,
     rounds: u32,
     round: u64,
+    /// In the last of them.
     value: f64,
 }
 
@@ -87,6 +90,8 @@
     /// An emergency has come before its time; the next change waits for its own.
     pre_empted: bool,
     entering: BTreeMap<(usize, usize, ZoneId), Held>,
+    /// The round of each zone that was looked at last: between two, figures are of one and the other.
+    rounds: BTreeMap<ZoneId, u64>,
     leaving: BTreeMap<usize, f64>,
     pin: Option<Pin>,
     trial: f64,
@@ -103,6 +108,7 @@
             changed: f64::NEG_INFINITY,
             pre_empted: false,
             entering: BTreeMap::new(),
+            rounds: BTreeMap::new(),
             leaving: BTreeMap::new(),
             pin: None,
             trial: TRIAL,
@@ -244,7 +250,9 @@
     fn gather(&mut self, now: f64, ladder: &Ladder, bring: &[(ZoneId, &Seen)], keep: &[&Seen]) {
         for (level, of) in ladder.levels().iter().enumerate().skip(1) {
             for (place, on) in of.enter.iter().enumerate() {
-                for (zone, seen) in bring {
+                let plain = seen_without_sums(on.signal);
+                let whole = |zone: &ZoneId, seen: &Seen| self.rounds.get(zone) != Some(&seen.round);
+                for (zone, seen) in bring.iter().filter(|(zone, seen)| plain || whole(zone, seen)) {
                     let key = (level, place, *zone);
                     match seen.values.get(&on.signal).copied() {
                         Some(value) if value > on.value => {
@@ -269,6 +277,7 @@
                 false => drop(self.leaving.remove(&level)),
             }
         }
+        self.rounds.extend(bring.iter().map(|(zone, seen)| (*zone, seen.round)));
         self.entering.retain(|_, held| now - held.last < FORGET);
     }
 
@@ -280,7 +289,7 @@
                 let on = conditions[*place];
                 // These are seen without sums, so rounds tell nothing of them.
                 let plain = matches!(on.signal, Signal::Unseen | Signal::Out | Signal::Load);
-                let known = plain || held.rounds >= ROUNDS;
+                let known = plain || held.rounds >= ROUNDS || held.value >= FAR * on.value;
                 (known && now - held.since >= on.lasting).then_some((on, *zone, *held))
             },
         )
@@ -292,3 +301,8 @@
         self.leaving.get(&self.at).is_some_and(|since| now - since >= longest)
     }
 }
+
+/// Rounds of sums tell nothing of these.
+fn seen_without_sums(signal: Signal) -> bool {
+    matches!(signal, Signal::Unseen | Signal::Out | Signal::Load)
+}
--- a/crates/steward/src/levels.rs
+++ b/crates/steward/src/levels.rs
@@ -191,7 +191,8 @@
 }
 
 fn show(now: f64, status: &Status, ladder: &Ladder, facts: &Facts) -> Value {
-    let ago = |at: f64| ((now - at) / 1e3).round();
+    let seconds = |ms: f64| (ms / 1e3).round() as i64;
+    let ago = |at: f64| seconds(now - at);
     let name = |level: usize| &ladder.levels()[level].name;
     let zone_name = |zone: usize| facts.zones.get(zone).map_or("", String::as_str);
     let changes: Vec<Value> = status
@@ -223,10 +224,8 @@
             json!({"zone": zone_name(usize::from(zone.0)), "signals": signals, "shares": shares})
         })
         .collect();
-    let pinned = status
-        .pinned
-        .as_ref()
-        .map(|(name, until)| json!({"level": name, "for_s": ((until - now) / 1e3).round()}));
+    let pinned =
+        status.pinned.as_ref().map(|(name, until)| json!({"level": name, "for_s": seconds(until - now)}));
     json!({
         "level": status.level, "for_s": ago(status.since), "acts": status.acts, "pinned": pinned,
         "lifts": lifts, "zones": zones, "changes": changes,
