--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -135,9 +135,9 @@
             may_probe: true,
         };
         let channel = Channel {
-            lines_per_s: 10_000.0,
+            lines_per_s: 1_000.0 * f64::from(self.proxies),
             head: 3.0,
-            backlog: 5_000.0,
+            backlog: 400.0 * f64::from(self.proxies),
             messages: 60,
             messages_over: 10_000.0,
             transit: self.transit,
@@ -188,8 +188,9 @@
     pub windows: Vec<Vec<Window>>,
     /// What the decisions had to say, and when.
     pub said: Vec<(f64, String)>,
-    /// Orders that went to proxies.
-    pub lines: u64,
+    /// Lines of levels, counted at each proxy that they go to, and the most that one reply held.
+    pub level_lines: u64,
+    pub most_level_lines: u64,
     /// Revenue earned, and what all that came could have earned.
     pub earned: f64,
     pub offered: f64,
--- a/crates/emulator/src/proxy.rs
+++ b/crates/emulator/src/proxy.rs
@@ -66,6 +66,10 @@
         found.copied().unwrap_or((1.0, Tries::AfterProof))
     }
 
+    pub fn uses(&self, tbl: TblId) -> bool {
+        self.binds.values().any(|bound| *bound == tbl)
+    }
+
     /// The host that lies at `chance`, from 0 to 1, of the weights; one that was tried before is left out.
     pub fn pick(&self, product: ProductId, chance: f64, not: Option<HostId>) -> Option<HostId> {
         let lines: Vec<(HostId, f64)> = self.open(product).filter(|(host, _)| Some(*host) != not).collect();
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -567,7 +567,14 @@
             }
         }
         if front == 0 {
-            self.day.lines += sent.len() as u64;
+            let holders = |tbl: &TblId| self.proxies().iter().filter(|proxy| proxy.uses(*tbl)).count() as u64;
+            let admits = sent.iter().filter_map(|order| match order {
+                Order::Admit { tbl, .. } => Some(holders(tbl)),
+                _ => None,
+            });
+            let lines = admits.sum::<u64>();
+            self.day.level_lines += lines;
+            self.day.most_level_lines = self.day.most_level_lines.max(lines);
         }
         if !sent.is_empty() {
             let orders = Rc::new(sent);
--- a/crates/lab/src/levels.rs
+++ b/crates/lab/src/levels.rs
@@ -182,6 +182,27 @@
     taken_up(day).into_iter().map(|(at, to, _)| (at, to)).collect()
 }
 
+#[derive(Serialize)]
+struct Large {
+    proxies: u16,
+    level_lines: u64,
+    most_in_a_reply: u64,
+    /// What the channel of the emulated site may hold, in lines.
+    backlog: f64,
+    changes: usize,
+}
+
+/// What a change writes where many proxies must hear of it.
+fn large(proxies: u16, seed: u64) -> Large {
+    let shape = Shape { proxies, lasts: 70_000.0, ..Shape::election() };
+    let burst = Gone { from: 20_000.0, until: 70_000.0, what: Trouble::Burst { times: 2.2 } };
+    let day =
+        World::new(shape.clone(), vec![burst], Reports::Off, seed).levelled(ladder(&shape), true).play();
+    let backlog = 400.0 * f64::from(proxies);
+    let (level_lines, most_in_a_reply) = (day.level_lines, day.most_level_lines);
+    Large { proxies, level_lines, most_in_a_reply, backlog, changes: changes(&day).len() }
+}
+
 pub fn run(how: &How) -> Result<bool, Fault> {
     let draws = if how.quick { 1 } else { 5 };
     let (mut rows, mut chart) = (Vec::new(), Vec::new());
@@ -259,14 +280,24 @@
     if let Some(dir) = &how.out {
         keep(dir, "levels", "A burst, ten seconds after ten seconds", "s", "part", &chart)?;
     }
+    let many: Vec<Large> = if how.quick {
+        vec![large(1_000, how.seed)]
+    } else {
+        [1_000, 10_000].map(|n| large(n, how.seed)).into()
+    };
+    for Large { proxies, level_lines, most_in_a_reply, backlog, changes } in &many {
+        println!("{proxies} proxies: {level_lines} lines of levels in 50 s of a burst, {most_in_a_reply} in one reply at the most, of a backlog of {backlog}; {changes} changes");
+    }
+    let share = many.iter().map(|large| large.most_in_a_reply as f64 / large.backlog).fold(0.0, f64::max);
     let bounds = [
+        Bound::under("lines of levels in one reply, of what the channel holds", share, 0.5),
         Bound::over("least time between two changes without emergency, s", closest / 1e3, 30.0),
         Bound::over("submits earned in the worst ten seconds of covered nights", worst_submits, SUBMITS),
         Bound::under("service less than by the module's own levels, worst night", lost, LESS),
         Bound::under("time to enter after a step, s", slowest / 1e3, ENTER_WITHIN / 1e3),
         Bound::under("time to full service after its end, s", longest / 1e3, FULL_WITHIN / 1e3),
     ];
-    close(how, rows, &bounds)
+    close(how, serde_json::json!({"nights": rows, "large": many}), &bounds)
 }
 
 /// Load, level and revenue by product.
--- a/crates/service-levels/src/lib.rs
+++ b/crates/service-levels/src/lib.rs
@@ -76,6 +76,8 @@
     rooms: BTreeMap<ZoneId, Room>,
     seen: BTreeMap<ZoneId, Seen>,
     shares: Shares,
+    /// The level and the rounds that the shares were planned by.
+    planned: Option<(usize, u64)>,
     told: BTreeMap<(ZoneId, ProductId), (f64, Tries)>,
     awaiting: bool,
     begun: Option<f64>,
@@ -96,6 +98,7 @@
             rooms: BTreeMap::new(),
             seen: BTreeMap::new(),
             shares: Shares::new(),
+            planned: None,
             told: BTreeMap::new(),
             awaiting: false,
             begun: None,
@@ -325,8 +328,14 @@
         demands
     }
 
+    /// Anew where a round has told something or the level has changed: a program over hundreds of products takes
+    /// tens of milliseconds.
     fn plan(&mut self) {
         let at = self.machine.as_ref().map_or(0, Machine::at);
+        let basis = (at, self.seen.values().map(|seen| seen.round).sum());
+        if std::mem::replace(&mut self.planned, Some(basis)) == Some(basis) {
+            return;
+        }
         self.shares = match at {
             0 => self.demands(0).into_keys().map(|key| (key, 1.0)).collect(),
             at => best(&self.demands(at), &self.capacities()),
