--- a/crates/service-levels/src/ladder.rs
+++ b/crates/service-levels/src/ladder.rs
@@ -170,7 +170,8 @@
             for enter in &level.enter {
                 let out = level.leave.iter().find(|leave| leave.signal == enter.signal);
                 let Some(out) = out else { return Err(Unfit::NotSeenToEnd(at, name(), enter.signal)) };
-                if !(out.value < enter.value) {
+                // What is not a number fails too.
+                if out.value.partial_cmp(&enter.value) != Some(std::cmp::Ordering::Less) {
                     return Err(Unfit::Overlap(at, name(), enter.signal, enter.value, out.value));
                 }
             }
--- a/crates/service-levels/src/lib.rs
+++ b/crates/service-levels/src/lib.rs
@@ -333,7 +333,7 @@
     fn plan(&mut self) {
         let at = self.machine.as_ref().map_or(0, Machine::at);
         let basis = (at, self.seen.values().map(|seen| seen.round).sum());
-        if std::mem::replace(&mut self.planned, Some(basis)) == Some(basis) {
+        if self.planned.replace(basis) == Some(basis) {
             return;
         }
         self.shares = match at {
--- a/crates/service-levels/tests/cases/night.rs
+++ b/crates/service-levels/tests/cases/night.rs
@@ -199,12 +199,12 @@
             let mut came = [0.0; 3];
             let mut work = 0.0;
             let mut let_in = 0.0;
-            for product in 0..3 {
-                came[product] =
-                    self.rates[product] + self.again * self.turned_away[usize::from(zone)][product];
-                let inside = came[product] * self.share(zone, product as u16);
-                self.turned_away[usize::from(zone)][product] = came[product] - inside;
-                (work, let_in) = (work + inside * products()[product].1.sla, let_in + inside);
+            let away = &mut self.turned_away[usize::from(zone)];
+            for (id, ((came, away), (_, product))) in (0..).zip(came.iter_mut().zip(away).zip(products())) {
+                *came = self.rates[usize::from(id)] + self.again * *away;
+                let inside = *came * self.told.get(&(zone, id)).copied().unwrap_or(1.0);
+                *away = *came - inside;
+                (work, let_in) = (work + inside * product.sla, let_in + inside);
             }
             let used = work / self.capacity[usize::from(zone)];
             let mean = (0.2 / (1.0 - used).max(0.05)).min(2.5);
