--- /dev/null
+++ b/crates/roster/src/lib.rs
@@ -0,0 +1,281 @@
+//! Who belongs to the fleet. Rows of discovery, of the configuration and of the disk go in, with probes and sums;
+//! which hosts the decisions are told of, which are to be probed before that, and what is to be kept on disk come
+//! out. No I/O, no clock: `now` is Unix time in ms, because evidence outlives a process.
+//!
+//! What it never does: give a host that is gone by the newest evidence, give one whose row is older than its
+//! confirmation without two passes, or let the order of arrival decide.
+
+mod member;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+pub use member::{Health, Learnt, Member, Row, Seen, Source, Told, UnixMs};
+
+/// How long a row counts as confirmed after discovery told it: a list that is watched is told at least every ten
+/// minutes by those known, and hosts are replaced in minutes.
+pub const CONFIRMED_FOR: f64 = 120_000.0;
+/// A row that nobody confirmed for so long is not even probed: names and addresses are given to others by then.
+pub const FORGOTTEN_AFTER: f64 = 7.0 * 24.0 * 3_600_000.0;
+/// As many passes as lift a gate.
+const PASSES: u32 = 2;
+const PROBE_EVERY: f64 = 1_000.0;
+/// After a pass the second is asked for soon.
+const AGAIN: f64 = 200.0;
+/// A start at which nothing passes for so long is cut off itself: better hosts that may be old than none.
+const BARE_FOR: f64 = 10_000.0;
+/// A time that lies further ahead than this was written by a clock that has been set back since.
+const AHEAD: f64 = 5_000.0;
+/// Gates of a run before are hints for as long as a probe takes to show better, parts fade over ten minutes.
+const SHUT_FOR: f64 = 60_000.0;
+const PART_FADES: f64 = 600_000.0;
+
+/// How a row stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Trust {
+    /// Confirmed of late, or by two passes since the start: the decisions know it.
+    Given,
+    /// Too old to be used before it has passed twice.
+    Unproven {
+        passes: u32,
+    },
+    Gone,
+    /// Older than anything may be.
+    Forgotten,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Proof {
+    passes: u32,
+    asked: f64,
+}
+
+/// What the decisions may take up again of what was learnt before a restart.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Hint {
+    pub part: f64,
+    pub shut: bool,
+}
+
+pub struct Roster {
+    begun: UnixMs,
+    members: BTreeMap<String, Member>,
+    proofs: BTreeMap<String, Proof>,
+    /// Told to the decisions by name, as it was told.
+    given: BTreeMap<String, Row>,
+    /// What has changed since it was last handed to the disk.
+    changed: BTreeSet<String>,
+    /// Discovery has answered in this run.
+    confirmed: bool,
+    epoch: u64,
+    seq: u64,
+}
+
+impl Roster {
+    pub fn new(now: UnixMs) -> Roster {
+        Roster {
+            begun: now,
+            members: BTreeMap::new(),
+            proofs: BTreeMap::new(),
+            given: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            confirmed: false,
+            epoch: 0,
+            seq: 0,
+        }
+    }
+
+    /// What the disk holds, or the configuration: heard before anything else, in any order.
+    pub fn restore(&mut self, members: impl IntoIterator<Item = Member>) {
+        for member in members {
+            (self.epoch, self.seq) = (self.epoch, self.seq).max((member.told.epoch, member.told.seq));
+            self.merge(member);
+        }
+    }
+
+    fn merge(&mut self, member: Member) {
+        let host = member.host.clone();
+        let merged = match self.members.get(&host).cloned() {
+            Some(before) => before.merge(member),
+            None => member,
+        };
+        if self.members.get(&host) != Some(&merged) {
+            let replaced = self.members.insert(host.clone(), merged.clone());
+            if replaced.is_some_and(|before| before.told.row.dial != merged.told.row.dial) {
+                self.proofs.remove(&host);
+            }
+            self.changed.insert(host);
+        }
+    }
+
+    /// Discovery's answer. A whole list confirms all that it names and ends all that it does not; changes confirm the
+    /// rest as they stand, because the watch would have told otherwise.
+    pub fn listed(&mut self, now: UnixMs, seq: u64, whole: bool, rows: Vec<(String, Row)>) {
+        if whole && seq < self.seq {
+            // A version that goes back is another list.
+            self.epoch += 1;
+        } else if seq < self.seq {
+            return;
+        }
+        (self.seq, self.confirmed) = (seq, true);
+        let epoch = self.epoch;
+        let told = |row: Row| Told { epoch, seq, at: now, source: Source::Discovery, row };
+        let named: BTreeSet<String> = rows.iter().map(|(host, _)| host.clone()).collect();
+        for (host, row) in rows {
+            self.merge(Member::new(host, told(row)));
+        }
+        let rest: Vec<Member> =
+            self.members.values().filter(|member| !named.contains(&member.host)).cloned().collect();
+        for member in rest {
+            let gone = member.told.row.health == Health::Gone;
+            let row = Row {
+                health: if whole { Health::Gone } else { member.told.row.health },
+                ..member.told.row.clone()
+            };
+            if !gone {
+                self.merge(Member { told: told(row), ..member });
+            }
+        }
+    }
+
+    /// A watch that stands and says nothing confirms what it told, as does an answer without changes.
+    pub fn stands(&mut self, now: UnixMs) {
+        let seq = self.seq;
+        if self.confirmed {
+            self.listed(now, seq, false, vec![]);
+        }
+    }
+
+    /// A probe's outcome; `None` tells nothing.
+    pub fn probed(&mut self, now: UnixMs, host: &str, pass: Option<bool>) {
+        let Some(member) = self.members.get_mut(host) else { return };
+        let proof = self.proofs.entry(host.to_string()).or_default();
+        match pass {
+            Some(true) => {
+                proof.passes += 1;
+                // To the second is enough for an age that is looked at in minutes.
+                let seen = member.current_mut();
+                if now - seen.passed > 1_000.0 {
+                    seen.passed = now;
+                    self.changed.insert(host.to_string());
+                }
+            }
+            Some(false) => proof.passes = 0,
+            None => {}
+        }
+    }
+
+    /// A sum told of a good answer of the host.
+    pub fn met(&mut self, now: UnixMs, host: &str) {
+        let seen = self.members.get_mut(host).map(Member::current_mut);
+        if let Some(seen) = seen.filter(|seen| now - seen.met > 1_000.0) {
+            seen.met = now;
+            self.changed.insert(host.to_string());
+        }
+    }
+
+    /// What decisions have learnt, or done.
+    pub fn learnt(&mut self, now: UnixMs, host: &str, part: Option<f64>, shut: Option<bool>) {
+        let Some(member) = self.members.get_mut(host) else { return };
+        let seen = member.current_mut();
+        let before = seen.learnt.unwrap_or(Learnt { at: now, part: 1.0, shut: false });
+        let learnt = Learnt { at: now, part: part.unwrap_or(before.part), shut: shut.unwrap_or(before.shut) };
+        if seen.learnt.is_none_or(|before| (before.part, before.shut) != (learnt.part, learnt.shut)) {
+            seen.learnt = Some(learnt);
+            self.changed.insert(host.to_string());
+        }
+    }
+
+    pub fn trust(&self, now: UnixMs, host: &str) -> Trust {
+        let Some(member) = self.members.get(host) else { return Trust::Forgotten };
+        if member.told.row.health == Health::Gone {
+            return Trust::Gone;
+        }
+        let age = age(now, member.told.at);
+        // Passed twice in this run, it is there, whoever told of it.
+        let passes = self.proofs.get(host).map_or(0, |proof| proof.passes);
+        match () {
+            _ if age < CONFIRMED_FOR || passes >= PASSES => Trust::Given,
+            _ if self.given.contains_key(host) => Trust::Given,
+            _ if age < FORGOTTEN_AFTER => Trust::Unproven { passes },
+            _ => Trust::Forgotten,
+        }
+    }
+
+    /// Hosts to be probed now, ahead of the decisions, with where.
+    pub fn to_probe(&mut self, now: UnixMs) -> Vec<(String, String)> {
+        let names: Vec<String> = self.members.keys().cloned().collect();
+        let mut out = Vec::new();
+        for host in names {
+            let Trust::Unproven { passes } = self.trust(now, &host) else { continue };
+            let proof = self.proofs.entry(host.clone()).or_default();
+            let wait = if passes > 0 { AGAIN } else { PROBE_EVERY };
+            if now - proof.asked >= wait {
+                proof.asked = now;
+                out.push((host.clone(), self.members[&host].told.row.dial.clone()));
+            }
+        }
+        out
+    }
+
+    /// The one place where hosts go out: what differs from what the decisions were told, gone ones by their health.
+    /// The first call brings all that is trusted at once.
+    pub fn emit(&mut self, now: UnixMs) -> Vec<(String, Row)> {
+        let trusted = |host: &String| matches!(self.trust(now, host), Trust::Given);
+        let mut wanted: BTreeMap<String, Row> = self
+            .members
+            .iter()
+            .filter(|(host, _)| trusted(host))
+            .map(|(host, member)| (host.clone(), member.told.row.clone()))
+            .collect();
+        let on = |row: &Row| row.health == Health::On;
+        if !wanted.values().any(on) && !self.confirmed && now - self.begun >= BARE_FOR {
+            // All unproven and none passes: as with all gated, what may be there is better than nothing. Never one
+            // that is known to be gone.
+            let may = self
+                .members
+                .iter()
+                .filter(|(host, _)| matches!(self.trust(now, host), Trust::Unproven { .. }));
+            wanted.extend(may.map(|(host, member)| (host.clone(), member.told.row.clone())));
+        }
+        let mut out = Vec::new();
+        for (host, row) in &wanted {
+            if self.given.get(host) != Some(row) {
+                out.push((host.clone(), row.clone()));
+            }
+        }
+        for (host, row) in self.given.iter().filter(|(host, _)| !wanted.contains_key(*host)) {
+            let known = self.members.get(host).map_or(row, |member| &member.told.row);
+            out.push((host.clone(), Row { health: Health::Gone, ..known.clone() }));
+        }
+        self.given = wanted;
+        out
+    }
+
+    /// What decisions may take up of what was learnt before this run: it fades with its age.
+    pub fn hint(&self, now: UnixMs, host: &str) -> Option<Hint> {
+        let learnt = self.members.get(host)?.current()?.learnt.filter(|learnt| learnt.at < self.begun)?;
+        let age = age(now, learnt.at);
+        let part = 1.0 - (1.0 - learnt.part.clamp(0.05, 1.0)) * (-age / PART_FADES).exp();
+        let hint = Hint { part, shut: learnt.shut && age < SHUT_FOR };
+        // Less than the least step that decisions take is nothing.
+        (hint.shut || hint.part < 0.95).then_some(hint)
+    }
+
+    /// Records that the disk does not hold yet.
+    pub fn to_keep(&mut self) -> Vec<Member> {
+        let changed = std::mem::take(&mut self.changed);
+        changed.into_iter().filter_map(|host| self.members.get(&host).cloned()).collect()
+    }
+
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+}
+
+/// How old something is; what lies ahead was written by another clock, and its age is not known.
+fn age(now: UnixMs, at: UnixMs) -> f64 {
+    match now - at {
+        age if age >= -AHEAD => age.max(0.0),
+        _ => f64::INFINITY,
+    }
+}
--- a/crates/service-levels/tests/cases/night.rs
+++ b/crates/service-levels/tests/cases/night.rs
@@ -181,7 +181,7 @@
         for event in self.levels.look(self.now) {
             match event {
                 Event::Bound { zone, product, share, .. } => {
-                    drop(self.told.insert((zone.0, product.0), share))
+                    self.told.insert((zone.0, product.0), share);
                 }
                 Event::Await { on } => self.awaits = on,
                 other => panic!("no event of levels: {other:?}"),
--- /dev/null
+++ b/crates/snapshot/tests/killed.rs
@@ -0,0 +1,67 @@
+//! Processes that are killed while they write. A program of its own: a lock is shared with a child until it has
+//! become another program, so no other test may open a folder beside this one.
+
+mod members;
+
+use std::fs;
+use std::path::Path;
+use std::process::{Command, Stdio};
+use std::time::Duration;
+
+use amberarch_snapshot::*;
+use members::member;
+
+/// Where the next test finds its folder when it is the one to be killed.
+const FOLDER: &str = "AMBERARCH_TEST_FOLDER";
+
+/// Not a test of its own: the process that the next one kills. It tells on standard output what is safe.
+#[test]
+fn writes_until_it_is_killed() {
+    let Ok(folder) = std::env::var(FOLDER) else { return };
+    let (mut store, held) = Store::open(Path::new(&folder)).expect("a folder");
+    let first = held.members.values().map(|member| member.told.seq).max().unwrap_or(0) + 1;
+    for round in first.. {
+        // Each member of a round has its number, so half a round shows.
+        store.keep(round as f64, (0..8).map(|number| member(number, round)).collect()).expect("room");
+        use std::io::Write;
+        let mut out = std::io::stdout();
+        let _ = writeln!(out, "safe {round}").and_then(|()| out.flush());
+    }
+}
+
+#[test]
+fn a_process_killed_at_any_moment_leaves_what_was_safe() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let mut safe = 0u64;
+    for round in 0..200u64 {
+        let out = dir.path().join("out");
+        let mut child = Command::new(std::env::current_exe().expect("this program"))
+            .args(["--exact", "writes_until_it_is_killed", "--nocapture"])
+            .env(FOLDER, dir.path().join("state"))
+            .stdout(fs::File::create(&out).expect("a file"))
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("a process");
+        // Different moments, the same ones each run.
+        std::thread::sleep(Duration::from_micros(4_000 + round * 7_919 % 9_000));
+        child.kill().expect("a kill");
+        child.wait().expect("an end");
+        let said = fs::read_to_string(&out).expect("what it said");
+        let told = said.lines().filter_map(|line| line.strip_prefix("safe ")?.parse::<u64>().ok()).max();
+        safe = safe.max(told.unwrap_or(0));
+        let held = match load(&dir.path().join("state")) {
+            Ok(held) => held,
+            Err(_) => continue,
+        };
+        for (host, found) in &held.members {
+            assert!(found.told.seq >= safe, "round {round}: {host} at {}, {safe} was safe", found.told.seq);
+            let number: u32 = host[2..].parse().expect("a number");
+            assert_eq!(*found, member(number, found.told.seq), "round {round}");
+        }
+        assert!(safe == 0 || held.members.len() == 8, "round {round}: {}", held.members.len());
+        // Rounds are kept in order, so two of them at most stand beside each other.
+        let rounds: std::collections::BTreeSet<u64> = held.members.values().map(|m| m.told.seq).collect();
+        assert!(rounds.len() <= 2, "round {round}: {rounds:?}");
+    }
+    assert!(safe > 50, "{safe} rounds were safe");
+}
