State that outlives the daemon: a roster before the list, hints for a steward that restarts

Need: a steward that restarts learns slow hosts anew, and knows no host while discovery is silent. Change: [state] keeps the roster; rows older than two minutes are probed twice before they are used, gone ones never; the module gets parts and gates of the run before as hints that fade; amberarch state show, verify, repair, export.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -261,6 +261,13 @@
         age: f64,
         sure: f64,
     },
+    /// What an earlier steward had learnt of a host, weighed by its age: the part of its listed weight that it
+    /// carried, and whether it was shut out. It never outranks a probe or a sum.
+    Hint {
+        host: HostId,
+        part: f64,
+        shut: bool,
+    },
     /// A level of reduced service holds in a zone: of the product no more than that share is let in, and tried no
     /// more often. It stands until the next for the same pair.
     Bound {
@@ -341,6 +348,12 @@
     Probe {
         host: HostId,
     },
+    /// The host carries another part of its listed weight, by what was seen of it: to be kept for a steward after
+    /// this one.
+    Learnt {
+        host: HostId,
+        part: f64,
+    },
     /// No order will name this host again, unless the list does.
     Forget {
         host: HostId,
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -560,7 +560,7 @@
                     self.at(self.now + after, What::Tell { front, event: Event::Due { timer } });
                 }
                 Order::Probe { host } => self.probe(front, host),
-                Order::Watch { .. } | Order::Fetch | Order::Forget { .. } => {}
+                Order::Watch { .. } | Order::Fetch | Order::Forget { .. } | Order::Learnt { .. } => {}
                 Order::Log { text } if front == 0 => self.day.said.push((self.now, text)),
                 Order::Log { .. } | Order::Tell { .. } => {}
                 order => sent.push(order),
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod intake;
 pub mod levels;
+pub mod state;
 
 use std::fmt;
 
@@ -12,6 +13,7 @@
 
 pub use intake::Intake;
 pub use levels::Levels;
+pub use state::State;
 
 /// All that an operator has switched on.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
@@ -19,6 +21,7 @@
 pub struct Operator {
     pub intake: Option<Intake>,
     pub levels: Option<Levels>,
+    pub state: Option<State>,
 }
 
 /// What is wrong, and where.
@@ -57,14 +60,19 @@
             let offset = error.span().map_or(0, |span| span.start);
             Fault::at(text, offset, error.message())
         })?;
-        let found = operator.intake.as_ref().map_or(Ok(()), Intake::check);
+        let intake = operator.intake.as_ref().map_or(Ok(()), Intake::check);
+        let found = intake.and_then(|()| operator.state.as_ref().map_or(Ok(()), State::check));
         found.map_err(|(span, what)| Fault::at(text, span.start, what))?;
         Ok(operator)
     }
 
     /// The names of the sections that are there.
     pub fn sections(&self) -> Vec<&'static str> {
-        let on = [(self.intake.is_some(), "intake"), (self.levels.is_some(), "levels")];
+        let on = [
+            (self.intake.is_some(), "intake"),
+            (self.levels.is_some(), "levels"),
+            (self.state.is_some(), "state"),
+        ];
         on.into_iter().filter(|(on, _)| *on).map(|(_, name)| name).collect()
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -105,8 +105,8 @@
     }
 }
 
-/// Half as much waits as runs, and twice the median host's load: of nine pairs tried on emulated days, the one
-/// that eases no host on a steady day and most of those that are overrun.
+/// Half as much waits as runs, and twice the median host's load: of nine pairs tried on emulated days, the
+/// one that eases no host on a steady day and most of those that are overrun.
 pub const FULL_LOAD: f64 = 1.5;
 pub const BESIDE: f64 = 2.0;
 /// So long a told load stands, and so surely it must be known.
@@ -132,6 +132,8 @@
     /// The part of its listed weight that its speed bears out, and when that was last changed.
     pace: f64,
     paced_at: f64,
+    /// The part that was told last for a steward after this one.
+    kept: f64,
 }
 
 impl Host {
@@ -484,6 +486,12 @@
                     host.busy = host.told.map(|told| told.0).or(host.busy);
                 }
             }
+            // Hints save learning anew. Nothing that was seen yet is touched, and two passes lift the gate.
+            Event::Hint { host, part, shut } => {
+                if let Some(host) = self.hosts.get_mut(host).filter(|host| host.met.is_empty()) {
+                    (host.pace, host.gate.shut) = (*part, host.gate.shut || *shut && host.gate.passes == 0);
+                }
+            }
             Event::Bound { zone, product, share, tries } => {
                 self.bounds.insert((*zone, *product), (*share, *tries));
             }
@@ -533,7 +541,7 @@
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host {
                 zone, place: free, weight, standing, cold_since: None, gate: Gate::default(), pace: 1.0,
                 met: BTreeMap::new(), summed: false, busy: None, told: None, probed_at: f64::MIN,
-                paced_at: f64::MIN,
+                paced_at: f64::MIN, kept: 1.0,
             });
             (host.zone, host.standing, host.weight) = (zone, standing, weight);
             taken.insert((zone, host.place));
@@ -586,6 +594,9 @@
                     host.gate.count(now, Some(false), 1 + (self.cover / PROBE_PERIOD) as u32, 8_000.0);
                 }
             }
+            if host.pace != std::mem::replace(&mut host.kept, host.pace) {
+                out.push(Order::Learnt { host: *id, part: host.pace });
+            }
             host.gate.shut &= host.gate.passes < PASSES_TO_LIFT || now < host.gate.until;
         }
     }
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -267,6 +267,11 @@
         changed.into_iter().filter_map(|host| self.members.get(&host).cloned()).collect()
     }
 
+    /// The version of the list that was heard last.
+    pub fn seq(&self) -> u64 {
+        self.seq
+    }
+
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
     }
--- a/crates/snapshot/tests/killed.rs
+++ b/crates/snapshot/tests/killed.rs
@@ -6,7 +6,7 @@
 use std::fs;
 use std::path::Path;
 use std::process::{Command, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use amberarch_snapshot::*;
 use members::member;
@@ -42,8 +42,12 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("a process");
-        // Different moments, the same ones each run.
-        std::thread::sleep(Duration::from_micros(4_000 + round * 7_919 % 9_000));
+        // Different moments, the same ones each run, once it has begun to write.
+        let until = Instant::now() + Duration::from_secs(20);
+        while fs::metadata(&out).expect("a file").len() < 200 && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        std::thread::sleep(Duration::from_micros(round * 7_919 % 9_000));
         child.kill().expect("a kill");
         child.wait().expect("an end");
         let said = fs::read_to_string(&out).expect("what it said");
--- a/crates/steward/src/command.rs
+++ b/crates/steward/src/command.rs
@@ -5,15 +5,16 @@
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use amberarch_core::{Effect, Product, Scope};
 use amberarch_operator::Operator;
 use amberarch_service_levels::Ladder;
-use clap::{Args, Parser, Subcommand};
+use amberarch_snapshot::Store;
+use clap::{Args, Parser, Subcommand, ValueEnum};
 use serde_json::json;
 
-use crate::{config, levels};
+use crate::{config, levels, state};
 
 /// Directs traffic for a fleet of sidecar proxies. Without a command it runs.
 #[derive(Debug, Parser)]
@@ -37,6 +38,15 @@
         #[arg(long)]
         json: bool,
     },
+    /// Looks at a folder that [state] keeps.
+    State {
+        act: Act,
+        /// The folder.
+        folder: PathBuf,
+        /// Answers in JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Asks a running daemon about its levels of reduced service.
     Levels {
         #[command(subcommand)]
@@ -46,6 +56,18 @@
     },
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Act {
+    /// Which hosts it holds, with the age of each row.
+    Show,
+    /// Whether each file is whole; exit code 1 where one is not.
+    Verify,
+    /// Writes all that can be read as a new generation; no daemon may use the folder meanwhile.
+    Repair,
+    /// The rows as discovery tells them, in JSON.
+    Export,
+}
+
 /// Where a running daemon answers.
 #[derive(Clone, Debug, Args)]
 pub struct Asked {
@@ -221,3 +243,71 @@
         ExitCode::from(2)
     }
 }
+
+/// Looks at a folder of `[state]`, or mends it.
+pub fn state(act: Act, folder: &Path, as_json: bool) -> ExitCode {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let now = now.map_or(0.0, |since| since.as_secs_f64() * 1e3);
+    let held = match act {
+        Act::Repair => Store::open(folder).and_then(|(mut store, held)| {
+            store.keep(now, vec![])?;
+            Ok(held)
+        }),
+        Act::Show | Act::Verify | Act::Export => amberarch_snapshot::load(folder),
+    };
+    let held = match held {
+        Ok(held) => held,
+        Err(why) => {
+            eprintln!("amberarch: {why}");
+            return ExitCode::from(2);
+        }
+    };
+    let files = || {
+        for found in &held.found {
+            let how = found.spoilt.map_or("whole".into(), |spoilt| spoilt.to_string());
+            println!(
+                "{:<12} {:>8} records, {:>10} good bytes, {how}",
+                found.file, found.records, found.bytes
+            );
+        }
+    };
+    match (act, as_json) {
+        (Act::Export, _) => {
+            let rows = held.members.values().map(|member| (member.host.clone(), member.told.row.clone()));
+            let rows: Vec<_> = rows.map(|(host, row)| state::exported(&state::listed(host, row))).collect();
+            let seq = held.members.values().map(|member| member.told.seq).max().unwrap_or(0);
+            println!("{}", json!({"seq": seq, "whole": true, "hosts": rows}));
+        }
+        (Act::Show, true) => println!("{}", state::show(&held, now)),
+        (Act::Verify | Act::Repair, true) => {
+            println!(
+                "{}",
+                json!({"whole": !held.spoilt(), "hosts": held.members.len(), "files": state::files(&held)})
+            );
+        }
+        (Act::Show, false) => {
+            println!("{} hosts, generation {}", held.members.len(), held.generation);
+            for member in held.members.values() {
+                let (row, age) = (&member.told.row, (now - member.told.at) / 1e3);
+                let learnt = member.current().and_then(|seen| seen.learnt);
+                let learnt = learnt.map_or(String::new(), |l| {
+                    format!(", carried {:.2}{}", l.part, if l.shut { ", shut out" } else { "" })
+                });
+                let health = format!("{:?}", row.health);
+                println!(
+                    "{:<24} {health:<9} {:<10} {:<22} {age:>9.0} s ago{learnt}",
+                    member.host, row.zone, row.dial
+                );
+            }
+        }
+        (Act::Verify, false) => files(),
+        (Act::Repair, false) => {
+            files();
+            println!("{} hosts are in a new generation", held.members.len());
+        }
+    }
+    match act == Act::Verify && held.spoilt() {
+        true => ExitCode::from(1),
+        false => ExitCode::SUCCESS,
+    }
+}
--- a/crates/steward/src/desk.rs
+++ b/crates/steward/src/desk.rs
@@ -12,6 +12,7 @@
 use amberarch_facts::Names;
 use amberarch_intake::Believed;
 use amberarch_intake_grpc::NamedHost;
+use amberarch_roster::Hint;
 use slog::{error, info, warn, Logger};
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, Instant};
@@ -20,6 +21,7 @@
 use crate::heard::{Ask, Encoded, Health, Heard, Listing, News, Out, Probe, Reply, Row};
 use crate::lines::Said;
 use crate::orders;
+use crate::state::{self, Rolls};
 
 /// The names that lines and lists use, in the order of the settings.
 pub struct Labels {
@@ -69,6 +71,9 @@
     unix: fn() -> f64,
     events: Vec<Event>,
     out: Out,
+    /// The roster, where what it holds is kept on disk; and when that was last handed on.
+    rolls: Option<Rolls>,
+    kept_at: Instant,
     counters: Rc<Counters>,
     skipped: Seldom,
     log: Logger,
@@ -102,6 +107,8 @@
             unix,
             events: Vec::new(),
             out,
+            rolls: None,
+            kept_at: Instant::now(),
             counters,
             skipped: Seldom::default(),
             log,
@@ -110,6 +117,13 @@
         desk
     }
 
+    /// With a roster between the list and the decisions: they hear of what it trusts.
+    pub fn keeping(mut self, rolls: Rolls) -> Desk {
+        self.rolls = Some(rolls);
+        self.roll_out(ListNews::Restored, true);
+        self
+    }
+
     /// Runs until nobody is left who could bring anything.
     pub async fn run(mut self, mut heard: mpsc::Receiver<Heard>) {
         const MOST_AT_ONCE: usize = 1_024;
@@ -163,7 +177,10 @@
     fn hear(&mut self, heard: Heard) {
         match heard {
             Heard::Sum(sum) => match self.sum(sum) {
-                Ok(event) => self.events.push(event),
+                Ok(event) => {
+                    self.served(&event);
+                    self.events.push(event);
+                }
                 Err(why) => {
                     self.counters.lines_skipped.one();
                     self.skip(why);
@@ -214,6 +231,20 @@
                 self.counters.applied.one();
                 self.events.push(Event::Applied { proxy, mark, took: took_ms });
             }
+            Heard::Listed(listing) if self.rolls.is_some() => {
+                let now = (self.unix)();
+                let rows = listing.hosts.iter().map(|row| (row.host.clone(), state::kept(row))).collect();
+                if let Some(rolls) = &mut self.rolls {
+                    rolls.roster.listed(now, listing.seq, listing.whole, rows);
+                }
+                self.roll_out(ListNews::Changes, true);
+            }
+            Heard::ListStands => {
+                let now = (self.unix)();
+                if let Some(rolls) = &mut self.rolls {
+                    rolls.roster.stands(now);
+                }
+            }
             Heard::Listed(listing) => {
                 let news = if listing.whole { ListNews::Whole } else { ListNews::Changes };
                 self.listed(listing, news);
@@ -226,6 +257,11 @@
                 self.events.extend(loads.into_iter().map(event));
             }
             Heard::Probed { host, outcome, took, report } => {
+                self.proved(host, outcome);
+                // One that the roster has asked for ahead of the decisions is no host of theirs yet.
+                if self.rolls.is_some() && !self.hosts.contains_key(&host) {
+                    return;
+                }
                 self.seen(host, self.now());
                 self.events.push(Event::Probed { host, outcome, took, report });
             }
@@ -299,6 +335,77 @@
         self.tell_list();
     }
 
+    /// What the roster trusts and the decisions do not know yet, with hints of what was learnt before this run.
+    fn roll_out(&mut self, news: ListNews, always: bool) {
+        let now = (self.unix)();
+        let Some(rolls) = &mut self.rolls else { return };
+        let rows = rolls.roster.emit(now);
+        if rows.is_empty() && !always {
+            return;
+        }
+        let hint = |(host, _): &(String, _)| Some((host.clone(), rolls.roster.hint(now, host)?));
+        let hints: Vec<(String, Hint)> = rows.iter().filter_map(hint).collect();
+        let seq = rolls.roster.seq();
+        let hosts = rows.into_iter().map(|(host, row)| state::listed(host, row)).collect();
+        self.listed(Listing { seq, whole: false, hosts }, news);
+        for (host, Hint { part, shut }) in hints {
+            if let Some(host) = self.names.find(&host) {
+                self.events.push(Event::Hint { host, part, shut });
+            }
+        }
+    }
+
+    /// Probes what is not trusted yet, lets in what has come to be, and hands on what the disk does not hold.
+    fn tend(&mut self) {
+        /// The writer's own period is no shorter than a tenth of this.
+        const HAND_ON: Duration = Duration::from_millis(500);
+        let now = (self.unix)();
+        let Some(rolls) = &mut self.rolls else { return };
+        for (name, dial) in rolls.roster.to_probe(now) {
+            let host = self.names.id(&name);
+            let to = dial.parse().ok();
+            if !to.is_some_and(|to| self.out.probes.try_send(Probe { host, to }).is_ok()) {
+                rolls.roster.probed(now, &name, None);
+            }
+        }
+        if self.kept_at.elapsed() >= HAND_ON {
+            self.kept_at = Instant::now();
+            let members = rolls.roster.to_keep();
+            if !members.is_empty() {
+                rolls.writer.keep(members);
+            }
+        }
+        self.roll_out(ListNews::Changes, false);
+    }
+
+    fn proved(&mut self, host: HostId, outcome: Outcome) {
+        let now = (self.unix)();
+        let pass = match outcome {
+            Outcome::Answered => Some(true),
+            Outcome::Full | Outcome::Unknown => None,
+            Outcome::Errored | Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset => Some(false),
+        };
+        if let Some((rolls, name)) = self.rolls.as_mut().zip(self.names.name(host)) {
+            rolls.roster.probed(now, name, pass);
+        }
+    }
+
+    fn served(&mut self, event: &Event) {
+        let now = (self.unix)();
+        if let (Some(rolls), Event::Met { host, tries, voided, .. }) = (&mut self.rolls, event) {
+            if let Some(name) = self.names.name(*host).filter(|_| tries > voided) {
+                rolls.roster.met(now, name);
+            }
+        }
+    }
+
+    fn learnt(&mut self, host: HostId, part: Option<f64>, shut: Option<bool>) {
+        let now = (self.unix)();
+        if let Some((rolls, name)) = self.rolls.as_mut().zip(self.names.name(host)) {
+            rolls.roster.learnt(now, name, part, shut);
+        }
+    }
+
     /// Tells the intake, where there is one, which hosts are listed.
     fn tell_list(&self) {
         let Some(witness) = &self.out.witness else { return };
@@ -342,6 +449,7 @@
     }
 
     fn decide(&mut self) {
+        self.tend();
         let (now, events) = (self.now(), std::mem::take(&mut self.events));
         self.counters.batches.one();
         self.counters.events.more(events.len());
@@ -391,9 +499,13 @@
                 Order::Watch { on } => self.ask(if *on { Ask::Watch } else { Ask::Unwatch }),
                 Order::Fetch => self.ask(Ask::Whole),
                 Order::Forget { host } => gone.push(*host),
+                Order::Learnt { host, part } => self.learnt(*host, Some(*part), None),
                 Order::Log { text } => info!(self.log, "the decisions say"; "text" => text),
                 Order::Tell { .. } => warn!(self.log, "stewards do not speak with each other on sockets"),
                 order => {
+                    if let Order::Withdraw { host, out } = order {
+                        self.learnt(*host, None, Some(*out));
+                    }
                     match order {
                         Order::Mark { mark: number, .. } => mark = Some(*number),
                         Order::Withdraw { host, out: true } => drop(self.shut_out.insert(*host)),
--- a/crates/steward/src/heard.rs
+++ b/crates/steward/src/heard.rs
@@ -27,6 +27,8 @@
     Stood,
     News(News),
     Listed(Listing),
+    /// Discovery answered and had nothing new: what it told stands.
+    ListStands,
     ListFailed,
     /// What is believed of hosts' own loads now.
     Loads(Vec<Believed>),
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod orders;
 pub mod probe;
 pub mod relay;
+pub mod state;
--- a/crates/steward/src/list.rs
+++ b/crates/steward/src/list.rs
@@ -21,6 +21,8 @@
     pub line: Kept<D>,
     /// How long a call may wait for news.
     pub wait: Duration,
+    /// Whether the desk is told of answers without news: they confirm what it keeps.
+    pub confirms: bool,
     pub ties: Ties,
 }
 
@@ -75,6 +77,8 @@
                     // The first answer is told even if it holds nothing: it shows that the watch stands.
                     if std::mem::take(&mut first) || listing.whole || !listing.hosts.is_empty() {
                         drop(self.ties.desk.send(Heard::Listed(listing)).await);
+                    } else if self.confirms {
+                        drop(self.ties.desk.send(Heard::ListStands).await);
                     }
                 }
                 Err(fault) => {
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -16,7 +16,7 @@
 use amberarch_steward::news::Follow;
 use amberarch_steward::probe::Prober;
 use amberarch_steward::relay::Relay;
-use amberarch_steward::{intake, levels};
+use amberarch_steward::{intake, levels, state};
 use clap::Parser;
 use slog::{error, info, o, warn, Drain, Logger};
 use slog_async::OverflowStrategy;
@@ -33,6 +33,7 @@
         Command::Run(run) => run,
         Command::Check { file, json } => return command::check(&file, json),
         Command::Levels { question, asked } => return command::levels(question, &asked),
+        Command::State { act, folder, json } => return command::state(act, &folder, json),
     };
     // A log that nobody reads loses lines; it holds nothing up.
     let plain = slog_term::PlainDecorator::new(std::io::stderr());
@@ -82,7 +83,7 @@
     let facts = config.level_facts()?;
     let ladder = read.ladder(&facts.products)?;
     let operator = read.operator;
-    let Config { name, listen, discovery, relay, sockets, known, labels, .. } = config;
+    let Config { name, listen, discovery, relay, sockets, mut known, labels, .. } = config;
     let Config { connect_within, ask_within, load_reports, seed, .. } = config;
     let log = log.new(o!("steward" => name));
     let panics = log.clone();
@@ -96,7 +97,7 @@
     let listener = TcpListener::bind(listen).await.map_err(|why| format!("{listen}: {why}"))?;
 
     let mut shown = None;
-    if let Some((ladder, section)) = ladder.zip(operator.levels) {
+    if let Some((ladder, section)) = ladder.zip(operator.levels.clone()) {
         if section.act && !facts.taken {
             warn!(log, "proxies take no levels here: they are looked at and told, and nothing is bounded");
         }
@@ -118,7 +119,19 @@
     let (to_ready, can_serve) = watch::channel(false);
     let witness = operator.intake.as_ref().map(|_| Witness::default());
     let out = Out { relay: to_relay, list: to_list, probes: to_probes, witness: witness.clone() };
-    let the_desk = Desk::new((make, seed), labels, known, unix_ms, out, counters.clone(), log.clone());
+    let rolls = match &operator.state {
+        Some(section) => {
+            let rolls = state::open(&section.folder, section.every.get_ref().0, &known, unix_ms(), &log)?;
+            known.hosts.clear();
+            Some(rolls)
+        }
+        None => None,
+    };
+    let (keeps, state) = (rolls.is_some(), rolls.as_ref().map(|rolls| rolls.writer.clone()));
+    let mut the_desk = Desk::new((make, seed), labels, known, unix_ms, out, counters.clone(), log.clone());
+    if let Some(rolls) = rolls {
+        the_desk = the_desk.keeping(rolls);
+    }
 
     let ties = Ties { desk, counters: counters.clone(), log: log.clone() };
     let loads = match operator.intake.zip(witness) {
@@ -144,7 +157,7 @@
         skipped: Seldom::default(),
         ties: ties.clone(),
     };
-    let list = Discovery { line: line(at_discovery), wait, ties: ties.clone() };
+    let list = Discovery { line: line(at_discovery), wait, confirms: keeps, ties: ties.clone() };
     // A quarter of the descriptors for probes, half for those who connect.
     let prober = Prober { path, connect_within, most: sockets / 4, ties: ties.clone() };
     let inside = Inside { ready: can_serve, zones, skipped: Rc::default(), closed: Rc::default(), ties };
@@ -193,5 +206,8 @@
     if let Some(loads) = &loads {
         info!(log, "intake: {}", loads);
     }
+    if let Some(state) = state {
+        state.end();
+    }
     ended
 }
--- /dev/null
+++ b/crates/steward/src/state.rs
@@ -0,0 +1,126 @@
+//! What outlives the daemon: the roster and its way to the disk, where an operator's file has a folder for it.
+
+use std::path::Path;
+use std::time::Duration;
+
+use amberarch_roster::{self as roster, Roster};
+use amberarch_snapshot::{Fault, Held, Store, Writer};
+use serde_json::{json, Value};
+use slog::{error, info, warn, Logger};
+
+use crate::heard::{Health, Listing, Row};
+
+/// The roster of this run, and where it is kept.
+pub struct Rolls {
+    pub roster: Roster,
+    pub writer: Writer,
+}
+
+/// Takes the folder and hears what it holds beside what the configuration says.
+///
+/// # Errors
+/// Another daemon has the folder, or it can't be read.
+pub fn open(
+    folder: &Path,
+    every: Duration,
+    known: &Listing,
+    now: f64,
+    log: &Logger,
+) -> Result<Rolls, String> {
+    let (store, held) = Store::open(folder).map_err(|why| format!("[state] folder: {why}"))?;
+    if held.spoilt() {
+        warn!(log, "some of what was kept is spoilt; the rest is used"; "found" => told(&held));
+    }
+    info!(log, "what was kept"; "hosts" => held.members.len(), "generation" => held.generation);
+    let mut roster = Roster::new(now);
+    // Nobody says how old the configuration's list is: it is no confirmation.
+    let at = now - roster::CONFIRMED_FOR;
+    let given = known.hosts.iter().map(|row| {
+        let told =
+            roster::Told { epoch: 0, seq: known.seq, at, source: roster::Source::Given, row: kept(row) };
+        roster::Member::new(row.host.clone(), told)
+    });
+    roster.restore(given.collect::<Vec<_>>());
+    roster.restore(held.members.into_values());
+    let log = log.clone();
+    let tell = move |said: Result<(), Fault>| match said {
+        Ok(()) => info!(log, "state is kept again"),
+        Err(why) => error!(log, "state can't be kept; it is tried again"; "why" => %why),
+    };
+    let writer = Writer::start(store, every, tell).map_err(|why| format!("[state] no thread: {why}"))?;
+    Ok(Rolls { roster, writer })
+}
+
+pub fn kept(row: &Row) -> roster::Row {
+    roster::Row {
+        dial: row.dial.clone(),
+        zone: row.site.clone(),
+        kind: row.class.clone(),
+        pod: row.block,
+        weight: row.share,
+        born: row.born_ms,
+        health: match row.health {
+            Health::InService => roster::Health::On,
+            Health::Terminating => roster::Health::Draining,
+            Health::Terminated => roster::Health::Gone,
+        },
+    }
+}
+
+pub fn listed(host: String, row: roster::Row) -> Row {
+    Row {
+        host,
+        dial: row.dial,
+        site: row.zone,
+        class: row.kind,
+        block: row.pod,
+        health: match row.health {
+            roster::Health::On => Health::InService,
+            roster::Health::Draining => Health::Terminating,
+            roster::Health::Gone => Health::Terminated,
+        },
+        share: row.weight,
+        born_ms: row.born,
+    }
+}
+
+/// A row as discovery writes it.
+pub fn exported(row: &Row) -> Value {
+    let health = match row.health {
+        Health::InService => "in_service",
+        Health::Terminating => "terminating",
+        Health::Terminated => "terminated",
+    };
+    json!({"host": row.host, "dial": row.dial, "site": row.site, "class": row.class, "block": row.block,
+        "health": health, "share": row.share, "born_ms": row.born_ms})
+}
+
+fn told(held: &Held) -> String {
+    let each = held.found.iter().map(|found| {
+        let how = found.spoilt.map_or("whole".into(), |spoilt| spoilt.to_string());
+        format!("{}: {} records, {how}", found.file, found.records)
+    });
+    each.collect::<Vec<_>>().join("; ")
+}
+
+/// `amberarch state show`: what a folder holds, with the age of each row.
+pub fn show(held: &Held, now: f64) -> Value {
+    let hosts: Vec<Value> = held.members.values().map(|member| {
+        let roster::Told { row, seq, at, source, .. } = &member.told;
+        json!({
+            "host": member.host, "health": format!("{:?}", row.health), "zone": row.zone, "dial": row.dial,
+            "weight": row.weight, "seq": seq, "told_by": format!("{source:?}"),
+            "confirmed_s_ago": ((now - at) / 1e3).round() as i64,
+            "learnt": member.current().and_then(|seen| seen.learnt).map(|l| json!({"part": l.part, "shut": l.shut})),
+        })
+    }).collect();
+    json!({"generation": held.generation, "hosts": hosts, "spoilt": held.spoilt(), "files": files(held)})
+}
+
+pub fn files(held: &Held) -> Vec<Value> {
+    let each = held.found.iter().map(|found| {
+        json!({"file": found.file, "records": found.records, "good_bytes": found.bytes,
+            "spoilt": found.spoilt.map(|spoilt| spoilt.to_string())})
+    });
+    each.collect()
+}
--- a/crates/steward/tests/steward/list.rs
+++ b/crates/steward/tests/steward/list.rs
@@ -26,7 +26,7 @@
             std::future::pending::<()>().await;
         });
         let wait = Duration::from_secs(5);
-        Discovery { line, wait, ties: ties(&trace) }.run(from, 41).await;
+        Discovery { line, wait, confirms: false, ties: ties(&trace) }.run(from, 41).await;
     })
 }
 
--- a/crates/wirehost/src/orders.rs
+++ b/crates/wirehost/src/orders.rs
@@ -36,6 +36,8 @@
             let Some(host) = names.name(*host) else { return };
             writeln!(out, "ASK_LOAD {who} {host}")
         }
+        // Stewards of the simulator start from nothing.
+        Order::Learnt { .. } => return,
         Order::Forget { host } => return names.forget(*host),
         Order::Watch { on } => writeln!(out, "FOLLOW {who} {}", u8::from(*on)),
         Order::Fetch => writeln!(out, "LOOKUP {who}"),
