--- a/crates/roster/tests/evidence.rs
+++ b/crates/roster/tests/evidence.rs
@@ -167,7 +167,8 @@
         Some("0.55 false")
         Some("0.82 false")
         None
-        None"#]].assert_eq(&said.join("\n"));
+        None"#]]
+    .assert_eq(&said.join("\n"));
     let mut one = member("a", "1:1", Health::On, 5, MINUTE);
     one.seen.learnt = Some(Learnt { at: NOW - 1e3, part: 0.5, shut: true });
     let mut roster = roster(&[one]);
--- a/crates/snapshot/src/record.rs
+++ b/crates/snapshot/src/record.rs
@@ -19,7 +19,7 @@
         generation: u64,
         at: UnixMs,
     },
-    Member(Member),
+    Member(Box<Member>),
     /// Last of a base: so many members before it. A base without it was never finished.
     End {
         members: u64,
--- a/crates/snapshot/src/store.rs
+++ b/crates/snapshot/src/store.rs
@@ -74,7 +74,7 @@
     }
     for record in prefix {
         if let Record::Member(member) = record {
-            held.members.insert(member.host.clone(), member);
+            held.members.insert(member.host.clone(), *member);
         }
     }
     Ok(held)
@@ -152,7 +152,7 @@
         let grown = self.log_bytes > LEAST_LOG.max(TIMES * self.base_bytes);
         let mut bytes = Vec::new();
         for member in &changed {
-            write(&Record::Member(member.clone()), &mut bytes).map_err(Fault::Member)?;
+            write(&Record::Member(Box::new(member.clone())), &mut bytes).map_err(Fault::Member)?;
         }
         self.members.extend(changed.into_iter().map(|member| (member.host.clone(), member)));
         let appended = match (&mut self.log, grown) {
@@ -176,7 +176,7 @@
         let mut record = |record: &Record| write(record, &mut bytes).map_err(Fault::Member);
         record(&Record::Head { generation, at: now })?;
         for member in self.members.values() {
-            record(&Record::Member(member.clone()))?;
+            record(&Record::Member(Box::new(member.clone())))?;
         }
         record(&Record::End { members: self.members.len() as u64 })?;
         let fault = |why| Fault::Io(self.folder.clone(), why);
--- a/crates/steward/src/desk.rs
+++ b/crates/steward/src/desk.rs
@@ -364,7 +364,7 @@
         for (name, dial) in rolls.roster.to_probe(now) {
             let host = self.names.id(&name);
             let to = dial.parse().ok();
-            if !to.is_some_and(|to| self.out.probes.try_send(Probe { host, to }).is_ok()) {
+            if to.is_none_or(|to| self.out.probes.try_send(Probe { host, to }).is_err()) {
                 rolls.roster.probed(now, &name, None);
             }
         }
