The roster touches only what changed; one record confirms a whole list; restart measured

Change: sets of who is to be looked at, and one record by which a list stands. The emulator keeps the tables of each steward apart, as the protocol has it.

--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -15,6 +15,8 @@
     /// Times the speed that its weight promises; faults turn it down.
     pub speed: f64,
     pub up: bool,
+    /// When it left the fleet for good.
+    pub left: Option<f64>,
     pub cold_since: Option<f64>,
     pub room: usize,
     working: u32,
@@ -41,6 +43,7 @@
             cores,
             speed,
             up,
+            left: None,
             cold_since,
             room,
             working: 0,
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -33,6 +33,8 @@
     Cut { zone: ZoneId },
     /// The hosts end when it begins and start cold when it ends.
     Restart { hosts: Vec<u32> },
+    /// The hosts leave the fleet for good: their processes end, and discovery lists them as gone.
+    Leave { hosts: Vec<u32> },
     /// The proxies neither send sums nor read orders.
     Stall { proxies: Vec<u16> },
 }
@@ -47,6 +49,21 @@
     },
 }
 
+/// What a steward that starts anew finds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Kept {
+    /// How old the list on disk is, ms; none: there is no disk.
+    pub list_age: Option<f64>,
+    /// How young it has to be to serve before it is proven.
+    pub confirmed_for: f64,
+    /// What was learnt of hosts is kept too.
+    pub hints: bool,
+    /// Until discovery answers, ms.
+    pub silent_for: f64,
+    /// Proxies start anew with it and hold nothing.
+    pub fresh_proxies: bool,
+}
+
 #[derive(Clone, Debug)]
 pub struct Shape {
     pub zones: u16,
@@ -151,7 +168,7 @@
             usual_tries: Tries::AfterProof,
             try_wait: 0.8,
         };
-        let roster = Roster { asked: false, ask_within: 1e4, grace: 2e3, removal_not_binding: false };
+        let roster = Roster { asked: false, ask_within: 1e4, grace: GRACE, removal_not_binding: false };
         let products = self.products.iter().map(|(product, ..)| product.clone()).collect();
         Steward::new(post, products, channel, sidecars, self.warmup.clone(), roster, self.sums.clone())
     }
@@ -169,6 +186,9 @@
     pub twice: u32,
 }
 
+/// The grace for what is gone, ms.
+pub const GRACE: f64 = 2_000.0;
+
 /// Of one product, what came in ten seconds, by when it came first.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Window {
@@ -191,6 +211,10 @@
     /// Lines of levels, counted at each proxy that they go to, and the most that one reply held.
     pub level_lines: u64,
     pub most_level_lines: u64,
+    /// Tries sent to hosts that had left more than the grace before.
+    pub to_gone: u32,
+    /// From a restart until every proxy has an open host for each product, ms.
+    pub bare_for: Option<f64>,
     /// Revenue earned, and what all that came could have earned.
     pub earned: f64,
     pub offered: f64,
--- a/crates/emulator/src/proxy.rs
+++ b/crates/emulator/src/proxy.rs
@@ -4,15 +4,21 @@
 
 use amberarch_core::*;
 
+/// A table of one of the stewards.
+type Tbl = (u32, TblId);
+
 #[derive(Default)]
 pub struct Proxy {
     pub zone: ZoneId,
     /// Txns a second of each product.
     pub rates: Vec<f64>,
-    tables: BTreeMap<TblId, BTreeMap<HostId, f64>>,
+    tables: BTreeMap<Tbl, BTreeMap<HostId, f64>>,
     out: BTreeSet<HostId>,
-    binds: BTreeMap<ProductId, TblId>,
-    levels: BTreeMap<(TblId, ProductId), (f64, Tries)>,
+    binds: BTreeMap<ProductId, Tbl>,
+    levels: BTreeMap<(Tbl, ProductId), (f64, Tries)>,
+    /// Counts the stewards that it has followed: tables are each one's own, and a proxy goes on with those that it
+    /// holds until it is bound to one of the next.
+    steward: u32,
     /// It holds what it has heard, and reads on only later.
     pub stalled: bool,
     pub unread: Vec<Order>,
@@ -29,24 +35,30 @@
             .filter(move |id| products == Products::ALL || products.0 & Products::one(*id).0 != 0)
     }
 
+    /// Its steward starts anew, with no tables.
+    pub fn follow_next(&mut self) {
+        self.steward += 1;
+    }
+
     pub fn hear(&mut self, me: ProxyId, order: &Order) {
+        let now = self.steward;
         match order {
             Order::Share { tbl, host, weight } => {
-                let table = self.tables.entry(*tbl).or_default();
+                let table = self.tables.entry((now, *tbl)).or_default();
                 match *weight > 0.0 {
                     true => drop(table.insert(*host, *weight)),
                     false => drop(table.remove(host)),
                 }
             }
-            Order::Clear { tbl } => drop(self.tables.remove(tbl)),
+            Order::Clear { tbl } => drop(self.tables.remove(&(now, *tbl))),
             Order::Withdraw { host, out: true } => drop(self.out.insert(*host)),
             Order::Withdraw { host, out: false } => drop(self.out.remove(host)),
             Order::Bind { proxy, tbl, products } if *proxy == me => {
-                self.binds.extend(self.masked(*products).map(|id| (id, *tbl)));
+                self.binds.extend(self.masked(*products).map(|id| (id, (now, *tbl))));
             }
             Order::Admit { tbl, products, level, tries } => {
                 let ids: Vec<ProductId> = self.masked(*products).collect();
-                self.levels.extend(ids.into_iter().map(|id| ((*tbl, id), (*level, *tries))));
+                self.levels.extend(ids.into_iter().map(|id| (((now, *tbl), id), (*level, *tries))));
             }
             _ => {}
         }
@@ -61,13 +73,14 @@
 
     pub fn level(&self, product: ProductId) -> (f64, Tries) {
         let tbl = self.binds.get(&product);
-        let found =
-            tbl.and_then(|tbl| self.levels.get(&(*tbl, product)).or(self.levels.get(&(TblId::ALL, product))));
+        let found = tbl.and_then(|tbl| {
+            self.levels.get(&(*tbl, product)).or(self.levels.get(&((tbl.0, TblId::ALL), product)))
+        });
         found.copied().unwrap_or((1.0, Tries::AfterProof))
     }
 
     pub fn uses(&self, tbl: TblId) -> bool {
-        self.binds.values().any(|bound| *bound == tbl)
+        self.binds.values().any(|bound| *bound == (self.steward, tbl))
     }
 
     /// The host that lies at `chance`, from 0 to 1, of the weights; one that was tried before is left out.
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -15,7 +15,7 @@
 
 use crate::host::{Host, Offer};
 use crate::proxy::Proxy;
-use crate::{Day, Fate, Fault, Reports, Shape, Trouble, TxnId, Window, WINDOW};
+use crate::{Day, Fate, Fault, Kept, Reports, Shape, Trouble, TxnId, Window, GRACE, WINDOW};
 
 /// One way between two machines.
 const PATH: f64 = 1.0;
@@ -73,6 +73,10 @@
     },
     Tick,
     Sample,
+    /// The first steward ends, and another begins in its place.
+    Anew,
+    /// Discovery answers it.
+    Discovered,
     Fault {
         place: usize,
         begins: bool,
@@ -120,6 +124,8 @@
     proxies: Vec<Proxy>,
     events: Vec<Event>,
     shares: Vec<Vec<f64>>,
+    /// What it learnt of hosts: the part that each carries, and who is shut out.
+    learnt: BTreeMap<HostId, (f64, bool)>,
     reports: u64,
     taken: u64,
 }
@@ -144,6 +150,8 @@
     /// becomes of it: two days with other decisions get the same txns and differ by those decisions alone.
     chances: Vec<ChaCha8Rng>,
     picks: Vec<ChaCha8Rng>,
+    restart: Option<Kept>,
+    begun_anew: Option<f64>,
     day: Day,
 }
 
@@ -169,6 +177,7 @@
             proxies: (0..shape.proxies).map(proxy).collect(),
             events: Vec::new(),
             shares: Vec::new(),
+            learnt: BTreeMap::new(),
             reports: 0,
             taken: 0,
         }
@@ -217,6 +226,8 @@
             chances: (0..u64::from(shape.proxies)).map(source).collect(),
             picks: (0..u64::from(shape.proxies)).map(|at| source(at + (1 << 32))).collect(),
             day: Day { fates: vec![Fate::default(); shape.products.len()], ..Day::default() },
+            restart: None,
+            begun_anew: None,
             faults,
             seed,
             shape,
@@ -232,6 +243,13 @@
         self
     }
 
+    /// The first steward ends at that time and one that starts from what is kept takes its place.
+    pub fn restarted(mut self, at: f64, kept: Kept) -> World {
+        self.at(at, What::Anew);
+        self.restart = Some(kept);
+        self
+    }
+
     /// One more steward that sees this day as the first does, but for its own reports, and steers nothing: how
     /// its tables differ is told apart from what other tables would have made of the day.
     pub fn beside(mut self, reports: Reports) -> World {
@@ -359,6 +377,8 @@
             }
             What::Tick => self.tick(),
             What::Sample => self.sample(),
+            What::Anew => self.anew(),
+            What::Discovered => self.discovered(),
             What::Fault { place, begins } => self.fault(place, begins),
         }
     }
@@ -433,6 +453,8 @@
         (txn.tried, txn.under_way) = (host, host);
         match host {
             Some(host) => {
+                let left = self.hosts[host.0 as usize].left;
+                self.day.to_gone += u32::from(left.is_some_and(|left| self.now > left + GRACE));
                 self.met.entry((proxy.zone, host)).or_default().tries += 1;
                 self.at(self.now + PATH, What::Reach { txn: id, host });
             }
@@ -535,11 +557,19 @@
         }
         for order in orders {
             proxy.hear(to, order);
+        }
+        for order in orders {
             if let Order::Mark { mark, .. } = order {
                 let took = self.shape.transit;
                 events.push(Event::Applied { proxy: to, mark: *mark, took });
             }
         }
+        let serves = |proxy: &Proxy| {
+            (0..proxy.rates.len() as u16).all(|id| proxy.open(ProductId(id)).next().is_some())
+        };
+        if let Some(begun) = self.begun_anew.filter(|_| front == 0 && self.day.bare_for.is_none()) {
+            self.day.bare_for = proxies.iter().all(serves).then(|| self.now - begun);
+        }
     }
 
     fn decide(&mut self) {
@@ -560,12 +590,20 @@
                     self.at(self.now + after, What::Tell { front, event: Event::Due { timer } });
                 }
                 Order::Probe { host } => self.probe(front, host),
-                Order::Watch { .. } | Order::Fetch | Order::Forget { .. } | Order::Learnt { .. } => {}
+                Order::Learnt { host, part } => {
+                    self.fronts[front].learnt.entry(host).or_insert((1.0, false)).0 = part;
+                }
+                Order::Watch { .. } | Order::Fetch | Order::Forget { .. } => {}
                 Order::Log { text } if front == 0 => self.day.said.push((self.now, text)),
                 Order::Log { .. } | Order::Tell { .. } => {}
                 order => sent.push(order),
             }
         }
+        for order in &sent {
+            if let Order::Withdraw { host, out } = order {
+                self.fronts[front].learnt.entry(*host).or_insert((1.0, false)).1 = *out;
+            }
+        }
         if front == 0 {
             let holders = |tbl: &TblId| self.proxies().iter().filter(|proxy| proxy.uses(*tbl)).count() as u64;
             let admits = sent.iter().filter_map(|order| match order {
@@ -694,6 +732,70 @@
         self.at(self.now + 1_000.0, What::Sample);
     }
 
+    /// What the disk holds is heard as a daemon hears it: a fresh list at once, an old one once each host has passed
+    /// twice, none only when discovery answers.
+    fn anew(&mut self) {
+        let Some(kept) = self.restart else { return };
+        self.fronts[0].steward = Box::new(self.shape.steward(self.seed + 1));
+        // Its timers and what was on the way to the one before are gone with it.
+        self.todo
+            .retain(|_, what| !matches!(what, What::Tell { front: 0, .. } | What::Heard { front: 0, .. }));
+        self.fronts[0].proxies.iter_mut().for_each(Proxy::follow_next);
+        if kept.fresh_proxies {
+            for proxy in &mut self.fronts[0].proxies {
+                *proxy = Proxy::new(proxy.zone, proxy.rates.clone());
+            }
+        }
+        self.begun_anew = Some(self.now);
+        let none = Event::List { news: ListNews::Restored, entries: vec![] };
+        self.fronts[0].events = vec![none];
+        for (at, zone) in (0..).zip(self.proxies().iter().map(|proxy| proxy.zone).collect::<Vec<_>>()) {
+            let txns_per_s = self.shape.rate() / f64::from(self.shape.proxies);
+            self.fronts[0].events.push(Event::Joined {
+                proxy: ProxyId(at),
+                zone,
+                txns_per_s,
+                fresh: kept.fresh_proxies,
+            });
+        }
+        /// Two probes of the roster, the second 0.2 s after the first.
+        const TWO_PASSES: f64 = 250.0;
+        match kept.list_age {
+            Some(age) if age < kept.confirmed_for => self.restore(kept),
+            Some(_) => self.at(self.now + TWO_PASSES, What::Discovered),
+            None => {}
+        }
+        self.at(self.now + kept.silent_for, What::Discovered);
+    }
+
+    /// The disk's list is from before the latest changes: it names hosts that have left since as on.
+    fn restore(&mut self, kept: Kept) {
+        let on = |host: &Host| Listed { standing: Standing::On, ..host.listed.clone() };
+        let entries = self.hosts.iter().map(on).collect();
+        self.fronts[0].events.push(Event::List { news: ListNews::Restored, entries });
+        self.hints(kept);
+    }
+
+    fn discovered(&mut self) {
+        let Some(kept) = self.restart else { return };
+        // Ahead of discovery, those that have passed twice; with it, all that it lists.
+        let answers = self.begun_anew.is_some_and(|begun| self.now >= begun + kept.silent_for);
+        let listed = |host: &&Host| if answers { host.left.is_none() } else { host.up };
+        let entries = self.hosts.iter().filter(listed).map(|host| host.listed.clone()).collect();
+        let news = if answers { ListNews::Whole } else { ListNews::Changes };
+        self.fronts[0].events.push(Event::List { news, entries });
+        self.hints(kept);
+    }
+
+    fn hints(&mut self, kept: Kept) {
+        if !kept.hints {
+            return;
+        }
+        let learnt = std::mem::take(&mut self.fronts[0].learnt);
+        let hint = |(host, (part, shut)): (HostId, (f64, bool))| Event::Hint { host, part, shut };
+        self.fronts[0].events.extend(learnt.into_iter().map(hint));
+    }
+
     fn fault(&mut self, place: usize, begins: bool) {
         let now = self.now;
         match self.faults[place].what.clone() {
@@ -726,6 +828,20 @@
                 }
                 self.list_reporters();
             }
+            Trouble::Leave { hosts } => {
+                for host in hosts.into_iter().filter(|_| begins) {
+                    let there = &mut self.hosts[host as usize];
+                    there.fall(now);
+                    (there.left, there.listed.standing) = (Some(now), Standing::Gone);
+                    let entries = vec![there.listed.clone()];
+                    // Discovery that is silent tells nobody.
+                    let silent = self.restart.zip(self.begun_anew);
+                    if silent.is_none_or(|(kept, begun)| now >= begun + kept.silent_for) {
+                        self.tell(Event::List { news: ListNews::Changes, entries });
+                    }
+                }
+                self.list_reporters();
+            }
             Trouble::Stall { proxies } => {
                 for (front, at) in (0..self.fronts.len()).flat_map(|f| proxies.iter().map(move |at| (f, *at)))
                 {
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -9,7 +9,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-pub use member::{Health, Learnt, Member, Row, Seen, Source, Told, UnixMs};
+pub use member::{Health, Learnt, Member, Row, Seen, Source, Stand, Told, UnixMs};
 
 /// How long a row counts as confirmed after discovery told it: a list that is watched is told at least every ten
 /// minutes by those known, and hosts are replaced in minutes.
@@ -64,6 +64,11 @@
     given: BTreeMap<String, Row>,
     /// What has changed since it was last handed to the disk.
     changed: BTreeSet<String>,
+    /// Who may stand otherwise than when it was last looked at, and who is not trusted yet: with many hosts the rest
+    /// is not touched.
+    look: BTreeSet<String>,
+    unproven: BTreeSet<String>,
+    stand: Stand,
     /// Discovery has answered in this run.
     confirmed: bool,
     epoch: u64,
@@ -78,6 +83,9 @@
             proofs: BTreeMap::new(),
             given: BTreeMap::new(),
             changed: BTreeSet::new(),
+            look: BTreeSet::new(),
+            unproven: BTreeSet::new(),
+            stand: Stand::default(),
             confirmed: false,
             epoch: 0,
             seq: 0,
@@ -92,19 +100,31 @@
         }
     }
 
+    /// Up to which version the list stood when the disk was last written.
+    pub fn restore_stand(&mut self, stand: Stand) {
+        self.stand = self.stand.merge(stand);
+        (self.epoch, self.seq) = (self.epoch, self.seq).max((stand.epoch, stand.seq));
+        self.look.extend(self.members.keys().cloned());
+    }
+
     fn merge(&mut self, member: Member) {
         let host = member.host.clone();
-        let merged = match self.members.get(&host).cloned() {
-            Some(before) => before.merge(member),
-            None => member,
-        };
-        if self.members.get(&host) != Some(&merged) {
-            let replaced = self.members.insert(host.clone(), merged.clone());
-            if replaced.is_some_and(|before| before.told.row.dial != merged.told.row.dial) {
-                self.proofs.remove(&host);
-            }
+        let Some(before) = self.members.get_mut(&host) else {
+            self.members.insert(host.clone(), member);
+            self.look.insert(host.clone());
             self.changed.insert(host);
+            return;
+        };
+        let merged = before.clone().merge(member);
+        if *before == merged {
+            return;
+        }
+        if before.told.row.dial != merged.told.row.dial {
+            self.proofs.remove(&host);
         }
+        *before = merged;
+        self.look.insert(host.clone());
+        self.changed.insert(host);
     }
 
     /// Discovery's answer. A whole list confirms all that it names and ends all that it does not; changes confirm the
@@ -123,32 +143,40 @@
         for (host, row) in rows {
             self.merge(Member::new(host, told(row)));
         }
-        let rest: Vec<Member> =
-            self.members.values().filter(|member| !named.contains(&member.host)).cloned().collect();
+        let ends = |member: &&Member| member.told.row.health != Health::Gone && !named.contains(&member.host);
+        let rest: Vec<Member> = match whole {
+            true => self.members.values().filter(ends).cloned().collect(),
+            // What was told before this run is looked at again with this confirmation.
+            false => vec![],
+        };
         for member in rest {
-            let gone = member.told.row.health == Health::Gone;
-            let row = Row {
-                health: if whole { Health::Gone } else { member.told.row.health },
-                ..member.told.row.clone()
-            };
-            if !gone {
-                self.merge(Member { told: told(row), ..member });
-            }
+            let row = Row { health: Health::Gone, ..member.told.row.clone() };
+            self.merge(Member { told: told(row), ..member });
         }
+        self.stand = Stand { epoch, seq, at: now };
+        self.look.extend(self.unproven.iter().cloned());
     }
 
     /// A watch that stands and says nothing confirms what it told, as does an answer without changes.
     pub fn stands(&mut self, now: UnixMs) {
-        let seq = self.seq;
         if self.confirmed {
-            self.listed(now, seq, false, vec![]);
+            self.stand = Stand { at: now, ..self.stand };
+            self.look.extend(self.unproven.iter().cloned());
         }
     }
 
+    /// Up to which version the list stands, and since when that is known: to be kept beside the members.
+    pub fn stand(&self) -> Stand {
+        self.stand
+    }
+
     /// A probe's outcome; `None` tells nothing.
     pub fn probed(&mut self, now: UnixMs, host: &str, pass: Option<bool>) {
         let Some(member) = self.members.get_mut(host) else { return };
         let proof = self.proofs.entry(host.to_string()).or_default();
+        if self.unproven.contains(host) {
+            self.look.insert(host.to_string());
+        }
         match pass {
             Some(true) => {
                 proof.passes += 1;
@@ -190,7 +218,7 @@
         if member.told.row.health == Health::Gone {
             return Trust::Gone;
         }
-        let age = age(now, member.told.at);
+        let age = age(now, self.stand.confirmed(&member.told));
         // Passed twice in this run, it is there, whoever told of it.
         let passes = self.proofs.get(host).map_or(0, |proof| proof.passes);
         match () {
@@ -203,15 +231,14 @@
 
     /// Hosts to be probed now, ahead of the decisions, with where.
     pub fn to_probe(&mut self, now: UnixMs) -> Vec<(String, String)> {
-        let names: Vec<String> = self.members.keys().cloned().collect();
         let mut out = Vec::new();
-        for host in names {
-            let Trust::Unproven { passes } = self.trust(now, &host) else { continue };
+        for host in &self.unproven {
+            let Some(member) = self.members.get(host) else { continue };
             let proof = self.proofs.entry(host.clone()).or_default();
-            let wait = if passes > 0 { AGAIN } else { PROBE_EVERY };
+            let wait = if proof.passes > 0 { AGAIN } else { PROBE_EVERY };
             if now - proof.asked >= wait {
                 proof.asked = now;
-                out.push((host.clone(), self.members[&host].told.row.dial.clone()));
+                out.push((host.clone(), member.told.row.dial.clone()));
             }
         }
         out
@@ -220,34 +247,40 @@
     /// The one place where hosts go out: what differs from what the decisions were told, gone ones by their health.
     /// The first call brings all that is trusted at once.
     pub fn emit(&mut self, now: UnixMs) -> Vec<(String, Row)> {
-        let trusted = |host: &String| matches!(self.trust(now, host), Trust::Given);
-        let mut wanted: BTreeMap<String, Row> = self
-            .members
-            .iter()
-            .filter(|(host, _)| trusted(host))
-            .map(|(host, member)| (host.clone(), member.told.row.clone()))
-            .collect();
         let on = |row: &Row| row.health == Health::On;
-        if !wanted.values().any(on) && !self.confirmed && now - self.begun >= BARE_FOR {
-            // All unproven and none passes: as with all gated, what may be there is better than nothing. Never one
-            // that is known to be gone.
-            let may = self
-                .members
-                .iter()
-                .filter(|(host, _)| matches!(self.trust(now, host), Trust::Unproven { .. }));
-            wanted.extend(may.map(|(host, member)| (host.clone(), member.told.row.clone())));
+        let bare = !self.confirmed && now - self.begun >= BARE_FOR && !self.given.values().any(on);
+        if bare {
+            self.look.extend(self.unproven.iter().cloned());
         }
         let mut out = Vec::new();
-        for (host, row) in &wanted {
-            if self.given.get(host) != Some(row) {
-                out.push((host.clone(), row.clone()));
+        for host in std::mem::take(&mut self.look) {
+            let Some(member) = self.members.get(&host) else { continue };
+            let row = &member.told.row;
+            let trust = self.trust(now, &host);
+            let given = match trust {
+                Trust::Given => true,
+                // All unproven and none passes: as with all gated, what may be there is better than nothing. Never
+                // one that is known to be gone.
+                Trust::Unproven { .. } => bare,
+                Trust::Gone | Trust::Forgotten => false,
+            };
+            match trust {
+                Trust::Unproven { .. } if !given => self.unproven.insert(host.clone()),
+                _ => self.unproven.remove(&host),
+            };
+            match self.given.get(&host) {
+                Some(told) if given && told == row => {}
+                Some(_) if !given => {
+                    self.given.remove(&host);
+                    out.push((host, Row { health: Health::Gone, ..row.clone() }));
+                }
+                None if !given => {}
+                _ => {
+                    self.given.insert(host.clone(), row.clone());
+                    out.push((host, row.clone()));
+                }
             }
         }
-        for (host, row) in self.given.iter().filter(|(host, _)| !wanted.contains_key(*host)) {
-            let known = self.members.get(host).map_or(row, |member| &member.told.row);
-            out.push((host.clone(), Row { health: Health::Gone, ..known.clone() }));
-        }
-        self.given = wanted;
         out
     }
 
@@ -261,6 +294,11 @@
         (hint.shut || hint.part < 0.95).then_some(hint)
     }
 
+    /// All that is held came from the disk: none of it needs to be kept again.
+    pub fn is_kept(&mut self) {
+        self.changed.clear();
+    }
+
     /// Records that the disk does not hold yet.
     pub fn to_keep(&mut self) -> Vec<Member> {
         let changed = std::mem::take(&mut self.changed);
--- a/crates/roster/src/member.rs
+++ b/crates/roster/src/member.rs
@@ -66,6 +66,37 @@
     pub learnt: Option<Learnt>,
 }
 
+/// A list up to that version stood at that time: every row of it that nothing newer has replaced was confirmed
+/// then. One such record speaks for all rows, so that a list in which nothing happens costs nothing to keep.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Stand {
+    pub epoch: u64,
+    pub seq: u64,
+    pub at: UnixMs,
+}
+
+impl Stand {
+    /// The newer list, and of one list the later time.
+    pub fn merge(self, other: Stand) -> Stand {
+        let rank = |stand: &Stand| (stand.epoch, Key(stand.at), stand.seq);
+        if rank(&self) >= rank(&other) {
+            self
+        } else {
+            other
+        }
+    }
+
+    /// When a row was last confirmed.
+    pub fn confirmed(&self, told: &Told) -> UnixMs {
+        let same = told.source == Source::Discovery && told.epoch == self.epoch && told.seq <= self.seq;
+        if same {
+            told.at.max(self.at)
+        } else {
+            told.at
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Member {
     pub host: String,
--- a/crates/snapshot/src/record.rs
+++ b/crates/snapshot/src/record.rs
@@ -3,7 +3,7 @@
 //! The payload is postcard: it carries no field names, so a list of 100,000 hosts stays small, and every record
 //! names its kind. What a later version adds is a new kind or a new version in the head.
 
-use amberarch_roster::{Member, UnixMs};
+use amberarch_roster::{Member, Stand, UnixMs};
 use serde::{Deserialize, Serialize};
 
 /// What files of this version begin with.
@@ -20,6 +20,8 @@
         at: UnixMs,
     },
     Member(Box<Member>),
+    /// How far the list stood, and when.
+    Stand(Stand),
     /// Last of a base: so many members before it. A base without it was never finished.
     End {
         members: u64,
--- a/crates/snapshot/src/store.rs
+++ b/crates/snapshot/src/store.rs
@@ -6,7 +6,7 @@
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
-use amberarch_roster::{Member, UnixMs};
+use amberarch_roster::{Member, Stand, UnixMs};
 
 use crate::record::{read, write, Record, Spoilt, MAGIC};
 
@@ -38,6 +38,7 @@
 #[derive(Debug, Default)]
 pub struct Held {
     pub members: BTreeMap<String, Member>,
+    pub stand: Stand,
     pub generation: u64,
     /// Each file that was looked at, newest first.
     pub found: Vec<Found>,
@@ -56,7 +57,7 @@
     let (mut held, mut prefix) = (Held::default(), Vec::new());
     for generation in generations(folder)?.into_iter().rev() {
         let (base, found) = file(folder, "base", generation)?;
-        let whole = matches!(base.last(), Some(Record::End { members }) if *members as usize + 2 == base.len())
+        let whole = matches!(base.last(), Some(Record::End { members }) if *members as usize + 3 == base.len())
             && matches!(base.first(), Some(Record::Head { generation: head, .. }) if *head == generation);
         held.found.push(found);
         if !whole {
@@ -73,8 +74,10 @@
         break;
     }
     for record in prefix {
-        if let Record::Member(member) = record {
-            held.members.insert(member.host.clone(), *member);
+        match record {
+            Record::Member(member) => drop(held.members.insert(member.host.clone(), *member)),
+            Record::Stand(stand) => held.stand = held.stand.merge(stand),
+            Record::Head { .. } | Record::End { .. } => {}
         }
     }
     Ok(held)
@@ -113,6 +116,7 @@
     log_bytes: u64,
     base_bytes: u64,
     members: BTreeMap<String, Member>,
+    stand: Stand,
 }
 
 impl Store {
@@ -140,6 +144,7 @@
             log_bytes: 0,
             base_bytes: 0,
             members: held.members.clone(),
+            stand: held.stand,
         };
         Ok((store, held))
     }
@@ -148,12 +153,16 @@
     ///
     /// # Errors
     /// The folder can't be written: full, gone, read-only.
-    pub fn keep(&mut self, now: UnixMs, changed: Vec<Member>) -> Result<(), Fault> {
+    pub fn keep(&mut self, now: UnixMs, changed: Vec<Member>, stand: Stand) -> Result<(), Fault> {
         let grown = self.log_bytes > LEAST_LOG.max(TIMES * self.base_bytes);
         let mut bytes = Vec::new();
         for member in &changed {
             write(&Record::Member(Box::new(member.clone())), &mut bytes).map_err(Fault::Member)?;
         }
+        if stand != self.stand {
+            self.stand = self.stand.merge(stand);
+            write(&Record::Stand(self.stand), &mut bytes).map_err(Fault::Member)?;
+        }
         self.members.extend(changed.into_iter().map(|member| (member.host.clone(), member)));
         let appended = match (&mut self.log, grown) {
             (Some(log), false) => append(log, &bytes),
@@ -175,6 +184,7 @@
         let mut bytes = MAGIC.to_vec();
         let mut record = |record: &Record| write(record, &mut bytes).map_err(Fault::Member);
         record(&Record::Head { generation, at: now })?;
+        record(&Record::Stand(self.stand))?;
         for member in self.members.values() {
             record(&Record::Member(Box::new(member.clone())))?;
         }
--- a/crates/snapshot/src/writer.rs
+++ b/crates/snapshot/src/writer.rs
@@ -5,13 +5,14 @@
 use std::thread;
 use std::time::{Duration, SystemTime};
 
-use amberarch_roster::{Member, FORGOTTEN_AFTER};
+use amberarch_roster::{Member, Stand, FORGOTTEN_AFTER};
 
 use crate::store::{Fault, Store};
 
 #[derive(Default)]
 struct Waiting {
     members: BTreeMap<String, Member>,
+    stand: Stand,
     ended: bool,
 }
 
@@ -32,21 +33,23 @@
         let theirs = waiting.clone();
         thread::Builder::new().name("state".into()).spawn(move || {
             let (mut well, mut ended, mut left) = (true, false, Vec::new());
+            let mut last = Stand::default();
             while !ended {
                 let (lock, changed) = &*theirs;
                 let guard = lock.lock().unwrap_or_else(PoisonError::into_inner);
                 let waited = changed.wait_timeout_while(guard, every, |waiting| !waiting.ended);
                 let mut waiting = waited.unwrap_or_else(PoisonError::into_inner).0;
-                let members = std::mem::take(&mut waiting.members);
+                let (members, stand) = (std::mem::take(&mut waiting.members), waiting.stand);
                 ended = waiting.ended;
                 drop(waiting);
                 left.extend(members.into_values());
-                if left.is_empty() && well {
+                let news = std::mem::replace(&mut last, stand) != stand;
+                if left.is_empty() && !news && well {
                     continue;
                 }
                 let now = unix_ms();
-                store.drop_forgotten(|member| now - member.told.at > FORGOTTEN_AFTER);
-                let kept = store.keep(now, std::mem::take(&mut left));
+                store.drop_forgotten(|member| now - stand.confirmed(&member.told) > FORGOTTEN_AFTER);
+                let kept = store.keep(now, std::mem::take(&mut left), stand);
                 if kept.is_ok() != well {
                     well = !well;
                     tell(kept);
@@ -56,8 +59,9 @@
         Ok(Writer { waiting })
     }
 
-    pub fn keep(&self, members: Vec<Member>) {
+    pub fn keep(&self, members: Vec<Member>, stand: Stand) {
         let mut waiting = self.waiting.0.lock().unwrap_or_else(PoisonError::into_inner);
+        waiting.stand = stand;
         waiting.members.extend(members.into_iter().map(|member| (member.host.clone(), member)));
     }
 
--- a/crates/steward/src/command.rs
+++ b/crates/steward/src/command.rs
@@ -250,7 +250,7 @@
     let now = now.map_or(0.0, |since| since.as_secs_f64() * 1e3);
     let held = match act {
         Act::Repair => Store::open(folder).and_then(|(mut store, held)| {
-            store.keep(now, vec![])?;
+            store.keep(now, vec![], held.stand)?;
             Ok(held)
         }),
         Act::Show | Act::Verify | Act::Export => amberarch_snapshot::load(folder),
@@ -288,7 +288,7 @@
         (Act::Show, false) => {
             println!("{} hosts, generation {}", held.members.len(), held.generation);
             for member in held.members.values() {
-                let (row, age) = (&member.told.row, (now - member.told.at) / 1e3);
+                let (row, age) = (&member.told.row, (now - held.stand.confirmed(&member.told)) / 1e3);
                 let learnt = member.current().and_then(|seen| seen.learnt);
                 let learnt = learnt.map_or(String::new(), |l| {
                     format!(", carried {:.2}{}", l.part, if l.shut { ", shut out" } else { "" })
--- a/crates/steward/src/desk.rs
+++ b/crates/steward/src/desk.rs
@@ -370,10 +370,7 @@
         }
         if self.kept_at.elapsed() >= HAND_ON {
             self.kept_at = Instant::now();
-            let members = rolls.roster.to_keep();
-            if !members.is_empty() {
-                rolls.writer.keep(members);
-            }
+            rolls.writer.keep(rolls.roster.to_keep(), rolls.roster.stand());
         }
         self.roll_out(ListNews::Changes, false);
     }
--- a/crates/steward/src/state.rs
+++ b/crates/steward/src/state.rs
@@ -40,8 +40,10 @@
             roster::Told { epoch: 0, seq: known.seq, at, source: roster::Source::Given, row: kept(row) };
         roster::Member::new(row.host.clone(), told)
     });
-    roster.restore(given.collect::<Vec<_>>());
     roster.restore(held.members.into_values());
+    roster.is_kept();
+    roster.restore(given.collect::<Vec<_>>());
+    roster.restore_stand(held.stand);
     let log = log.clone();
     let tell = move |said: Result<(), Fault>| match said {
         Ok(()) => info!(log, "state is kept again"),
@@ -106,11 +108,11 @@
 /// `amberarch state show`: what a folder holds, with the age of each row.
 pub fn show(held: &Held, now: f64) -> Value {
     let hosts: Vec<Value> = held.members.values().map(|member| {
-        let roster::Told { row, seq, at, source, .. } = &member.told;
+        let roster::Told { row, seq, source, .. } = &member.told;
         json!({
             "host": member.host, "health": format!("{:?}", row.health), "zone": row.zone, "dial": row.dial,
             "weight": row.weight, "seq": seq, "told_by": format!("{source:?}"),
-            "confirmed_s_ago": ((now - at) / 1e3).round() as i64,
+            "confirmed_s_ago": ((now - held.stand.confirmed(&member.told)) / 1e3).round() as i64,
             "learnt": member.current().and_then(|seen| seen.learnt).map(|l| json!({"part": l.part, "shut": l.shut})),
         })
     }).collect();
