Proxies that join before the first host are bound; members are shared with the writer

Need: 60 proxies that join before the list were never bound, found by a test of the restart's hard case: letting the first hosts in at each took more lines than the channel holds. A module that has listed nobody has shut nobody out, so its first hosts are not held.

--- a/crates/lab/src/restart.rs
+++ b/crates/lab/src/restart.rs
@@ -1,6 +1,7 @@
 //! A steward that restarts at the peak, with and without a snapshot, beside a discovery that is silent for a while;
 //! and what it costs to keep the roster.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use amberarch_emulator::{Day, Fault as Gone, Kept, Reports, Shape, Trouble, World, WINDOW};
@@ -187,7 +188,9 @@
     let (mut store, _) = Store::open(dir.path()).map_err(fault)?;
     let mut roster = Roster::new(1e12);
     roster.restore((0..hosts).map(|number| member(number, 0)));
-    store.keep(1e12, roster.to_keep(), roster.stand()).map_err(fault)?;
+    store
+        .keep(1e12, (0..hosts).map(|number| Arc::new(member(number, 0))).collect(), roster.stand())
+        .map_err(fault)?;
     let churn = (hosts / 100).max(1);
     let (mut worst, mut slowest, mut took, mut bytes) = (0.0f64, 0.0f64, 0.0, 0);
     for period in 1..=periods {
@@ -228,7 +231,7 @@
         return Err(Fault::Other(format!("{started} of {members} hosts came back")));
     }
     let mut one = Vec::new();
-    amberarch_snapshot::write(&amberarch_snapshot::Record::Member(Box::new(member(1, 1))), &mut one)
+    amberarch_snapshot::write(&amberarch_snapshot::Record::Member(Arc::new(member(1, 1))), &mut one)
         .map_err(|why| Fault::Other(why.to_string()))?;
     Ok(Cost {
         hosts,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -522,6 +522,8 @@
 
     fn learn(&mut self, now: f64, news: ListNews, entries: &[Listed]) {
         (self.failures, self.urgent) = (0, true);
+        // Before the first host nothing was ordered that could still hold one back.
+        let first = self.hosts.is_empty();
         // Places are dealt by weight, the lowest free one first, so that tables of one size carry alike.
         let listed = self.hosts.values().filter(|host| host.standing != Standing::Gone);
         let mut taken: BTreeSet<(ZoneId, u32)> = listed.map(|host| (host.zone, host.place)).collect();
@@ -534,7 +536,8 @@
             let (zone, standing) = (entry.zone, entry.standing);
             let weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
             // One that is new here may be one that was let go while shut out: it is let in like those.
-            let new = news != ListNews::Restored && !self.hosts.contains_key(&entry.host);
+            let known = first || self.hosts.contains_key(&entry.host);
+            let new = news != ListNews::Restored && !known;
             self.present.held.extend(new.then_some(entry.host));
             let free = (0..).find(|place| !taken.contains(&(zone, *place))).unwrap_or(0);
             #[rustfmt::skip]
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -2,7 +2,7 @@
 
 use amberarch_core::*;
 use expect_test::expect;
-use fleet::Fleet;
+use fleet::{product, Fleet};
 
 #[test]
 fn a_run_of_fails_gates_and_a_run_of_passes_lifts() {
@@ -753,3 +753,88 @@
     "#]]
     .assert_eq(&fleet.trace);
 }
+
+/// A level of reduced service holds from outside: the lesser of it and the module's own is let in.
+#[test]
+fn a_bound_holds_for_its_product_and_zone_and_waits_while_nothing_is_known() {
+    let products = vec![product(Effect::InquiryLike), product(Effect::OnceOnly)];
+    let mut fleet = Fleet::with(1, 4, products, LevelKind::Share);
+    let (zone, tries) = (ZoneId(0), Tries::One);
+    fleet.say(&[Event::Await { on: true }]);
+    fleet.join(0);
+    fleet.run(5);
+    fleet.trace.clear();
+    fleet.note("bounded, and waiting");
+    fleet.say(&[Event::Bound { zone, product: ProductId(0), share: 0.3, tries }]);
+    fleet.run(2);
+    fleet.note("known");
+    fleet.say(&[Event::Await { on: false }]);
+    fleet.run(2);
+    fleet.note("nothing of it is let in");
+    fleet.say(&[Event::Bound { zone, product: ProductId(0), share: 0.0, tries }]);
+    fleet.run(2);
+    fleet.note("lifted");
+    fleet.say(&[Event::Bound { zone, product: ProductId(0), share: 1.0, tries: Tries::TwiceAfterAny }]);
+    fleet.run(2);
+    expect![[r#"
+        2000 bounded, and waiting
+        2400 known
+        2400 admit t0 for 1: 0.3 One
+        2400 admit t0 for 10: 1 AfterProof
+        2800 nothing of it is let in
+        2800 admit t0 for 1: 0 One
+        3200 lifted
+        3200 admit t0 for 1: 1 AfterProof
+    "#]]
+    .assert_eq(&fleet.trace);
+}
+
+/// What an earlier steward had learnt saves learning it anew, and two passes or a sum go before it.
+#[test]
+fn hints_of_an_earlier_steward_ease_and_shut_until_something_is_seen() {
+    let mut fleet = Fleet::new(1, 4);
+    let hint = |host, part, shut| Event::Hint { host: HostId(host), part, shut };
+    fleet.trace.clear();
+    fleet.say(&[hint(0, 0.5, false), hint(1, 1.0, true)]);
+    fleet.join(0);
+    fleet.run(3);
+    fleet.probes(1, &[Outcome::Answered, Outcome::Answered]);
+    fleet.met(2, 0, 10, 0, 100.0);
+    fleet.run(1);
+    fleet.note("a hint about what was seen");
+    fleet.say(&[hint(2, 0.3, true)]);
+    fleet.run(5);
+    expect![[r#"
+        1000 withdraw host1
+        1000 t0 host0 weight 0.5
+        1000 t0 host1 weight 1
+        1000 t0 host2 weight 1
+        1000 t0 host3 weight 1
+        1000 admit t0 for 1: 1 AfterProof
+        1000 bind proxy0 to t0 for 1
+        2600 answered host1
+        3600 answered host1
+        3600 restore host1
+        3800 a hint about what was seen
+    "#]]
+    .assert_eq(&fleet.trace);
+}
+
+/// Guards against a start at which nobody is ever bound: proxies that join before the first host all count as
+/// holding it, and letting it in at each took more lines than the channel holds.
+#[test]
+fn proxies_that_join_before_the_list_are_bound_within_the_channel() {
+    let mut fleet = Fleet::with(1, 0, vec![product(Effect::InquiryLike)], LevelKind::Off);
+    (0..60).for_each(|proxy| fleet.join(proxy));
+    fleet.run(10);
+    assert!(!fleet.trace.contains("bind"), "nothing to bind to");
+    fleet.trace.clear();
+    let entries = (0..4).map(|host| fleet.entry(host)).collect();
+    fleet.say(&[Event::List { news: ListNews::Changes, entries }]);
+    for _ in 0..40 {
+        fleet.run(1);
+        fleet.catch_up(60);
+    }
+    let bound = fleet.trace.lines().filter(|line| line.contains("bind")).count();
+    assert!(bound >= 60, "{bound} of 60 are bound");
+}
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -8,6 +8,7 @@
 mod member;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 pub use member::{Health, Learnt, Member, Row, Seen, Source, Stand, Told, UnixMs};
 
@@ -58,7 +59,8 @@
 
 pub struct Roster {
     begun: UnixMs,
-    members: BTreeMap<String, Member>,
+    /// Shared with whoever writes them down: a host that changes is made anew.
+    members: BTreeMap<String, Arc<Member>>,
     proofs: BTreeMap<String, Proof>,
     /// Told to the decisions by name, as it was told.
     given: BTreeMap<String, Row>,
@@ -67,6 +69,7 @@
     /// Who may stand otherwise than when it was last looked at, and who is not trusted yet: with many hosts the rest
     /// is not touched.
     look: BTreeSet<String>,
+    look_at_all: bool,
     unproven: BTreeSet<String>,
     stand: Stand,
     /// Discovery has answered in this run.
@@ -84,6 +87,7 @@
             given: BTreeMap::new(),
             changed: BTreeSet::new(),
             look: BTreeSet::new(),
+            look_at_all: true,
             unproven: BTreeSet::new(),
             stand: Stand::default(),
             confirmed: false,
@@ -92,37 +96,44 @@
         }
     }
 
-    /// What the disk holds, or the configuration: heard before anything else, in any order.
-    pub fn restore(&mut self, members: impl IntoIterator<Item = Member>) {
-        for member in members {
-            (self.epoch, self.seq) = (self.epoch, self.seq).max((member.told.epoch, member.told.seq));
-            self.merge(member);
+    /// What the disk holds, or the configuration: heard before anything else, in any order. What the first call
+    /// brings is on disk already.
+    pub fn restore(&mut self, members: impl IntoIterator<Item = impl Into<Arc<Member>>>) {
+        let (epoch, seq) = (&mut self.epoch, &mut self.seq);
+        let newest =
+            |member: &Arc<Member>| (*epoch, *seq) = (*epoch, *seq).max((member.told.epoch, member.told.seq));
+        let members = members.into_iter().map(Into::into).inspect(newest);
+        if self.members.is_empty() {
+            self.members = members.map(|member| (member.host.clone(), member)).collect();
+            return;
         }
+        let members: Vec<Arc<Member>> = members.collect();
+        members.into_iter().for_each(|member| self.merge(Arc::unwrap_or_clone(member)));
     }
 
     /// Up to which version the list stood when the disk was last written.
     pub fn restore_stand(&mut self, stand: Stand) {
         self.stand = self.stand.merge(stand);
         (self.epoch, self.seq) = (self.epoch, self.seq).max((stand.epoch, stand.seq));
-        self.look.extend(self.members.keys().cloned());
+        self.look_at_all = true;
     }
 
     fn merge(&mut self, member: Member) {
         let host = member.host.clone();
-        let Some(before) = self.members.get_mut(&host) else {
-            self.members.insert(host.clone(), member);
-            self.look.insert(host.clone());
-            self.changed.insert(host);
-            return;
+        let merged = match self.members.get(&host) {
+            Some(before) => {
+                let merged = Member::clone(before).merge(member);
+                if **before == merged {
+                    return;
+                }
+                if before.told.row.dial != merged.told.row.dial {
+                    self.proofs.remove(&host);
+                }
+                merged
+            }
+            None => member,
         };
-        let merged = before.clone().merge(member);
-        if *before == merged {
-            return;
-        }
-        if before.told.row.dial != merged.told.row.dial {
-            self.proofs.remove(&host);
-        }
-        *before = merged;
+        self.members.insert(host.clone(), Arc::new(merged));
         self.look.insert(host.clone());
         self.changed.insert(host);
     }
@@ -143,9 +154,10 @@
         for (host, row) in rows {
             self.merge(Member::new(host, told(row)));
         }
-        let ends = |member: &&Member| member.told.row.health != Health::Gone && !named.contains(&member.host);
+        let ends =
+            |member: &&Arc<Member>| member.told.row.health != Health::Gone && !named.contains(&member.host);
         let rest: Vec<Member> = match whole {
-            true => self.members.values().filter(ends).cloned().collect(),
+            true => self.members.values().filter(ends).map(|member| Member::clone(member)).collect(),
             // What was told before this run is looked at again with this confirmation.
             false => vec![],
         };
@@ -172,7 +184,7 @@
 
     /// A probe's outcome; `None` tells nothing.
     pub fn probed(&mut self, now: UnixMs, host: &str, pass: Option<bool>) {
-        let Some(member) = self.members.get_mut(host) else { return };
+        let Some(member) = self.members.get_mut(host).map(Arc::make_mut) else { return };
         let proof = self.proofs.entry(host.to_string()).or_default();
         if self.unproven.contains(host) {
             self.look.insert(host.to_string());
@@ -194,7 +206,7 @@
 
     /// A sum told of a good answer of the host.
     pub fn met(&mut self, now: UnixMs, host: &str) {
-        let seen = self.members.get_mut(host).map(Member::current_mut);
+        let seen = self.members.get_mut(host).map(|member| Arc::make_mut(member).current_mut());
         if let Some(seen) = seen.filter(|seen| now - seen.met > 1_000.0) {
             seen.met = now;
             self.changed.insert(host.to_string());
@@ -203,7 +215,7 @@
 
     /// What decisions have learnt, or done.
     pub fn learnt(&mut self, now: UnixMs, host: &str, part: Option<f64>, shut: Option<bool>) {
-        let Some(member) = self.members.get_mut(host) else { return };
+        let Some(member) = self.members.get_mut(host).map(Arc::make_mut) else { return };
         let seen = member.current_mut();
         let before = seen.learnt.unwrap_or(Learnt { at: now, part: 1.0, shut: false });
         let learnt = Learnt { at: now, part: part.unwrap_or(before.part), shut: shut.unwrap_or(before.shut) };
@@ -253,7 +265,12 @@
             self.look.extend(self.unproven.iter().cloned());
         }
         let mut out = Vec::new();
-        for host in std::mem::take(&mut self.look) {
+        let look = std::mem::take(&mut self.look);
+        let names: Vec<String> = match std::mem::take(&mut self.look_at_all) {
+            true => self.members.keys().cloned().collect(),
+            false => look.into_iter().collect(),
+        };
+        for host in names {
             let Some(member) = self.members.get(&host) else { continue };
             let row = &member.told.row;
             let trust = self.trust(now, &host);
@@ -294,13 +311,8 @@
         (hint.shut || hint.part < 0.95).then_some(hint)
     }
 
-    /// All that is held came from the disk: none of it needs to be kept again.
-    pub fn is_kept(&mut self) {
-        self.changed.clear();
-    }
-
     /// Records that the disk does not hold yet.
-    pub fn to_keep(&mut self) -> Vec<Member> {
+    pub fn to_keep(&mut self) -> Vec<Arc<Member>> {
         let changed = std::mem::take(&mut self.changed);
         changed.into_iter().filter_map(|host| self.members.get(&host).cloned()).collect()
     }
@@ -311,7 +323,7 @@
     }
 
     pub fn members(&self) -> impl Iterator<Item = &Member> {
-        self.members.values()
+        self.members.values().map(|member| &**member)
     }
 }
 
--- a/crates/roster/tests/evidence.rs
+++ b/crates/roster/tests/evidence.rs
@@ -145,6 +145,7 @@
     assert_eq!((count(Health::On), count(Health::Gone)), (50, 50));
     let kept = roster.to_keep();
     assert_eq!(kept.len(), 100);
+    let kept: Vec<Member> = kept.iter().map(|member| Member::clone(member)).collect();
     // An hour of answers without news: what is kept is as young as the last of them.
     roster.stands(NOW + 60.0 * MINUTE);
     assert!(roster.to_keep().is_empty(), "one word speaks for all rows");
--- a/crates/snapshot/src/record.rs
+++ b/crates/snapshot/src/record.rs
@@ -3,6 +3,8 @@
 //! The payload is postcard: it carries no field names, so a list of 100,000 hosts stays small, and every record
 //! names its kind. What a later version adds is a new kind or a new version in the head.
 
+use std::sync::Arc;
+
 use amberarch_roster::{Member, Stand, UnixMs};
 use serde::{Deserialize, Serialize};
 
@@ -19,7 +21,7 @@
         generation: u64,
         at: UnixMs,
     },
-    Member(Box<Member>),
+    Member(Arc<Member>),
     /// How far the list stood, and when.
     Stand(Stand),
     /// Last of a base: so many members before it. A base without it was never finished.
--- a/crates/snapshot/src/store.rs
+++ b/crates/snapshot/src/store.rs
@@ -5,13 +5,15 @@
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 use amberarch_roster::{Member, Stand, UnixMs};
 
 use crate::record::{read, write, Record, Spoilt, MAGIC};
 
-/// A log that is so much larger than its base, and than this at all, is folded into the next base.
-const TIMES: u64 = 2;
+/// A log that is larger than this part of its base, and than this at all, is folded into the next base: a start reads
+/// both.
+const PART: u64 = 2;
 const LEAST_LOG: u64 = 256 * 1_024;
 
 /// How far something came.
@@ -37,7 +39,7 @@
 /// All that a folder holds.
 #[derive(Debug, Default)]
 pub struct Held {
-    pub members: BTreeMap<String, Member>,
+    pub members: BTreeMap<String, Arc<Member>>,
     pub stand: Stand,
     pub generation: u64,
     /// Each file that was looked at, newest first.
@@ -75,7 +77,7 @@
     }
     for record in prefix {
         match record {
-            Record::Member(member) => drop(held.members.insert(member.host.clone(), *member)),
+            Record::Member(member) => drop(held.members.insert(member.host.clone(), member)),
             Record::Stand(stand) => held.stand = held.stand.merge(stand),
             Record::Head { .. } | Record::End { .. } => {}
         }
@@ -115,7 +117,7 @@
     log: Option<File>,
     log_bytes: u64,
     base_bytes: u64,
-    members: BTreeMap<String, Member>,
+    members: BTreeMap<String, Arc<Member>>,
     stand: Stand,
 }
 
@@ -153,11 +155,11 @@
     ///
     /// # Errors
     /// The folder can't be written: full, gone, read-only.
-    pub fn keep(&mut self, now: UnixMs, changed: Vec<Member>, stand: Stand) -> Result<(), Fault> {
-        let grown = self.log_bytes > LEAST_LOG.max(TIMES * self.base_bytes);
+    pub fn keep(&mut self, now: UnixMs, changed: Vec<Arc<Member>>, stand: Stand) -> Result<(), Fault> {
+        let grown = self.log_bytes > LEAST_LOG.max(self.base_bytes / PART);
         let mut bytes = Vec::new();
         for member in &changed {
-            write(&Record::Member(Box::new(member.clone())), &mut bytes).map_err(Fault::Member)?;
+            write(&Record::Member(member.clone()), &mut bytes).map_err(Fault::Member)?;
         }
         if stand != self.stand {
             self.stand = self.stand.merge(stand);
@@ -186,7 +188,7 @@
         record(&Record::Head { generation, at: now })?;
         record(&Record::Stand(self.stand))?;
         for member in self.members.values() {
-            record(&Record::Member(Box::new(member.clone())))?;
+            record(&Record::Member(member.clone()))?;
         }
         record(&Record::End { members: self.members.len() as u64 })?;
         let fault = |why| Fault::Io(self.folder.clone(), why);
@@ -209,7 +211,7 @@
         Ok(())
     }
 
-    pub fn members(&self) -> &BTreeMap<String, Member> {
+    pub fn members(&self) -> &BTreeMap<String, Arc<Member>> {
         &self.members
     }
 
--- a/crates/snapshot/src/writer.rs
+++ b/crates/snapshot/src/writer.rs
@@ -11,7 +11,7 @@
 
 #[derive(Default)]
 struct Waiting {
-    members: BTreeMap<String, Member>,
+    members: BTreeMap<String, Arc<Member>>,
     stand: Stand,
     ended: bool,
 }
@@ -59,7 +59,7 @@
         Ok(Writer { waiting })
     }
 
-    pub fn keep(&self, members: Vec<Member>, stand: Stand) {
+    pub fn keep(&self, members: Vec<Arc<Member>>, stand: Stand) {
         let mut waiting = self.waiting.0.lock().unwrap_or_else(PoisonError::into_inner);
         waiting.stand = stand;
         waiting.members.extend(members.into_iter().map(|member| (member.host.clone(), member)));
--- a/crates/snapshot/tests/crashes.rs
+++ b/crates/snapshot/tests/crashes.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use amberarch_roster::{Member, Stand};
@@ -12,7 +13,7 @@
 use members::member;
 
 /// A folder with a base of four members and a log with two newer ones.
-fn small(folder: &Path) -> BTreeMap<String, Member> {
+fn small(folder: &Path) -> BTreeMap<String, Arc<Member>> {
     let (mut store, held) = Store::open(folder).expect("a folder");
     assert!(held.members.is_empty() && !held.spoilt());
     store.keep(1.0, (0..4).map(|number| member(number, 1)).collect(), Stand::default()).expect("a base");
@@ -20,7 +21,7 @@
     store.members().clone()
 }
 
-fn was_ever_true(found: &Member) -> bool {
+fn was_ever_true(found: &Arc<Member>) -> bool {
     let number: u32 = found.host[2..].parse().expect("a number");
     [1, 2].iter().any(|round| *found == member(number, *round))
 }
--- a/crates/snapshot/tests/members/mod.rs
+++ b/crates/snapshot/tests/members/mod.rs
@@ -1,8 +1,10 @@
 //! Members by number and round.
 
+use std::sync::Arc;
+
 use amberarch_roster::{Health, Member, Row, Source, Told};
 
-pub fn member(number: u32, round: u64) -> Member {
+pub fn member(number: u32, round: u64) -> Arc<Member> {
     let row = Row {
         dial: format!("127.0.0.1:{}", 3_000 + number),
         zone: "teika".into(),
@@ -13,5 +15,5 @@
         health: Health::On,
     };
     let told = Told { epoch: 0, seq: round, at: 1e12 + round as f64, source: Source::Discovery, row };
-    Member::new(format!("s-{number}"), told)
+    Arc::new(Member::new(format!("s-{number}"), told))
 }
--- a/crates/steward/src/state.rs
+++ b/crates/steward/src/state.rs
@@ -41,7 +41,6 @@
         roster::Member::new(row.host.clone(), told)
     });
     roster.restore(held.members.into_values());
-    roster.is_kept();
     roster.restore(given.collect::<Vec<_>>());
     roster.restore_stand(held.stand);
     let log = log.clone();
--- a/crates/steward/tests/restart.rs
+++ b/crates/steward/tests/restart.rs
@@ -142,7 +142,7 @@
 fn age(state: &Path, ms: f64) {
     let (store, held) = Store::open(state).expect("the folder");
     let mut members: BTreeMap<_, _> = held.members;
-    members.values_mut().for_each(|member| member.told.at -= ms);
+    members.values_mut().for_each(|member| std::sync::Arc::make_mut(member).told.at -= ms);
     let stand = Stand { at: held.stand.at - ms, ..held.stand };
     // A stand only moves forward, so an older one needs a folder of its own.
     drop(store);
