--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -568,7 +568,7 @@
             (0..proxy.rates.len() as u16).all(|id| proxy.open(ProductId(id)).next().is_some())
         };
         if let Some(begun) = self.begun_anew.filter(|_| front == 0 && self.day.bare_for.is_none()) {
-            self.day.bare_for = proxies.iter().all(serves).then(|| self.now - begun);
+            self.day.bare_for = proxies.iter().all(serves).then_some(self.now - begun);
         }
     }
 
