Zones that all restart at once come back: a table that serves nothing loses lines at once

Cause: with every zone gone tables held the neighbours' hosts; those lines went only once all that came back served, and cold hosts came back only once the lines had gone, so an emulated fleet of which all hosts restarted earned nothing for good. Change: where nothing in a table serves, its unwanted lines go at once. Also tests: levels over a channel slower than a round of sums, a state folder that can't be made.

--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -1,7 +1,8 @@
 //! What any day of the emulator must show, whatever decides.
 
-use amberarch_core::{LevelKind, ZoneId};
+use amberarch_core::{LevelKind, ProductId, Tries, ZoneId};
 use amberarch_emulator::{apart, Day, Fault, Reports, Shape, Trouble, World};
+use amberarch_service_levels::{Condition, Keep, Ladder, Level, Signal};
 
 fn short(use_of_cores: f64) -> Shape {
     Shape { use_of_cores, lasts: 30_000.0, ..Shape::usual() }
@@ -89,3 +90,70 @@
     let after: Vec<f64> = apart(&day.shares, &day.beside[0]).into_iter().skip(20).collect();
     assert!(after.iter().all(|part| *part < 1e-9), "{after:?}");
 }
+
+/// Full service, then a level that sheds details, then one that sheds pages too, by an emergency.
+fn ladder(shape: &Shape) -> Ladder {
+    let on = |signal, value, lasting| Condition { signal, value, lasting };
+    let quiet = vec![on(Signal::Pressure, 0.45, 6_000.0), on(Signal::Voided, 0.05, 6_000.0)];
+    let level = |name: &str, least: &[f64], enter: Vec<Condition>, emergency| Level {
+        name: name.into(),
+        keep: (0..)
+            .map(ProductId)
+            .zip(least)
+            .map(|(id, least)| (id, Keep { least: *least, most: 1.0 }))
+            .collect(),
+        tries: Tries::AfterProof,
+        leave: if enter.is_empty() { vec![] } else { quiet.clone() },
+        enter,
+        stay: 20_000.0,
+        emergency,
+        force: false,
+    };
+    let levels = vec![
+        level("full", &[], vec![], false),
+        level("no-extras", &[0.0], vec![on(Signal::Pressure, 0.8, 0.0)], false),
+        level("writes-only", &[0.0, 0.0], vec![on(Signal::Voided, 0.5, 4_000.0)], true),
+    ];
+    let names = ["detail-page", "results-page", "tally-submit"].map(String::from);
+    let products: Vec<_> = names.into_iter().zip(shape.products.iter().map(|one| one.0.clone())).collect();
+    Ladder::new(levels, &products).expect("a ladder that can serve")
+}
+
+/// A night without and with named levels, and when each level was taken up and whether by an emergency.
+fn night(shape: &Shape, faults: &[Fault]) -> (Day, Day, Vec<(f64, String, bool)>) {
+    let own = World::new(shape.clone(), faults.to_vec(), Reports::Off, 9).play();
+    let named =
+        World::new(shape.clone(), faults.to_vec(), Reports::Off, 9).levelled(ladder(shape), true).play();
+    let to = |text: &str| text.split(" to=").nth(1).and_then(|rest| rest.split(' ').next()).map(String::from);
+    let changes =
+        named.said.iter().filter_map(|(at, text)| Some((*at, to(text)?, text.contains("\"emergency"))));
+    let changes: Vec<_> = changes.collect();
+    for pair in changes.windows(2) {
+        assert!(pair[1].2 || pair[1].0 - pair[0].0 >= 30_000.0 - 1e-6, "{changes:?}");
+    }
+    (own, named, changes)
+}
+
+/// Guards against an outage for good, too: with every zone gone, tables held the neighbours' hosts, whose lines went
+/// only once all that came back served, while cold hosts came back only once those lines had gone.
+#[test]
+fn all_hosts_restart_at_once_and_levels_end_at_full_service() {
+    let shape = Shape { lasts: 150_000.0, ..Shape::election() };
+    let restart = fault(20_000.0, 24_000.0, Trouble::Restart { hosts: (0..24).collect() });
+    let (own, named, changes) = night(&shape, &[restart]);
+    assert!(own.windows[10].iter().all(|of| of.earned > 0.8 * of.offered), "{:?}", own.windows[10]);
+    assert!(!changes.is_empty());
+    assert_eq!(changes.last().map(|change| change.1.as_str()), Some("full"), "{changes:?}");
+    assert!(named.service() > own.service() - 0.02, "{} and {}", named.service(), own.service());
+    assert_eq!(named.fates[2].twice, 0);
+}
+
+/// Orders take longer than a round of sums: levels are told late, and do not chase what they have not done yet.
+#[test]
+fn a_channel_that_is_too_slow_for_a_change_brings_no_flapping() {
+    let shape = Shape { lasts: 150_000.0, transit: 5_000.0, ..Shape::election() };
+    let burst = fault(30_000.0, 90_000.0, Trouble::Burst { times: 2.2 });
+    let (own, named, changes) = night(&shape, &[burst]);
+    assert!((1..=5).contains(&changes.len()), "{changes:?}");
+    assert!(named.service() > own.service() - 0.02, "{} and {}", named.service(), own.service());
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -785,6 +785,10 @@
             // What goes is removed once all that comes back serves, or the rest would get it all, or none.
             let back = |id: &HostId| present.held.contains(id) && !wanted.held.contains(id);
             let serves = !lines.keys().any(back) && !lines.keys().all(|id| present.held.contains(id));
+            // Where nothing serves nothing is lost, and a cold host waits for its line to go: zones that all
+            // restarted had each other's hosts in their tables, and both waited for good.
+            let bare = standing.keys().all(|host| present.held.contains(host));
+            let serves = serves || bare && !standing.is_empty() && !lines.is_empty();
             let gone = standing.keys().filter(|id| serves && !lines.contains_key(id)).map(|id| (*id, 0.0));
             let news = lines.iter().map(|(host, weight)| (*host, *weight)).filter(|(host, weight)| {
                 // The weight of a host that is shut out can wait until it comes back.
@@ -794,7 +798,6 @@
             let changes: Vec<(HostId, f64)> = gone.chain(news).collect();
             let share = |tbl: TblId| move |&(host, weight): &_| Order::Share { tbl, host, weight };
             let orders: Vec<Order> = changes.iter().map(share(number(*tbl))).collect();
-            let bare = standing.keys().all(|host| present.held.contains(host));
             let usual = if changes.iter().any(|(host, _)| back(host)) { URGENT } else { ROUTINE };
             let may = if bare { DRAIN } else { usual };
             if !orders.is_empty() && reply.take(may, whom, orders.len() as f64, &orders) {
--- a/crates/steward/tests/restart.rs
+++ b/crates/steward/tests/restart.rs
@@ -235,3 +235,14 @@
     let (_, shown) = amberarch(&["state", "show"]);
     assert!(shown.contains("generation"), "{shown}");
 }
+
+/// As a read-only file system answers, whoever asks.
+#[test]
+fn a_folder_that_can_not_be_made_ends_the_start_with_its_name() {
+    let (dir, _) = folder();
+    std::fs::write(dir.path().join("operator.toml"), "[state]\nfolder = \"/proc/amberarch\"\n")
+        .expect("a file");
+    let mut daemon = start(dir.path(), Peer::stand(None).at);
+    daemon.says("[state] folder: /proc/amberarch");
+    assert_eq!(daemon.child.wait().expect("an end").code(), Some(2));
+}
