Hosts that were gone come back by a quarter before the list tells why

They pass two probes by 0:15, the list tells of their new start at 0:15.1 to 0:16.6, and in between all five stewards give 32 of 40 cold hosts their whole weight (`Host::part` knew only the list's start). At 0:18 10 to 14 hosts of that zone are gated again for 8 s and more by sums ('tries 114 void 112'): each covers 4 to 9 s at this size (120 lines a second of 1,300 pairs), so it tells of tries from before the host was let in (`hear`, Event::Met asked only whether it is out now). Ruled out: that those had fallen over (probes passed throughout); the list's calls (none failed); descriptors (100 of 2,048).

Change: a host that was shut out while it could not be reached counts as just started from its first answer, at a quarter of its weight, until the list has had 5 s to say so; a sum that covers time before a cold host was let in is passed over. Each has a trace that fails without it; two older traces show the quarter.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -116,12 +116,20 @@
 /// What a cold host can do when it may carry half: so much bears what strained proxies turn to it.
 const HALF: f64 = 0.55;
 
+/// The list told of a new start one to three seconds after the host answered again; that twice over.
+const UNTOLD_FOR: f64 = 5_000.0;
+
 struct Host {
     zone: ZoneId,
     place: u32,
     weight: f64,
     standing: Standing,
     cold_since: Option<f64>,
+    /// It was gone from the net when it was shut out; and when it answered again.
+    away: bool,
+    back_at: f64,
+    /// When it was let in last.
+    let_in_at: f64,
     gate: Gate,
     met: BTreeMap<ZoneId, Ring>,
     summed: bool,
@@ -144,12 +152,19 @@
     /// The part of its listed weight that it may carry, in few steps below what it can; none: it stays out.
     fn part(&self, now: f64, warmup: &Warmup) -> Option<f64> {
         let able = self.able(now, warmup);
-        let step = [(1.0, 1.0), (0.75, 0.8), (0.5, HALF), (0.25, 0.3)].iter().find(|step| able >= step.1)?.0;
-        Some(step * self.pace)
+        let steps = [(1.0, 1.0), (0.75, 0.8), (0.5, HALF), (0.25, 0.3)];
+        let step = steps.iter().find(|step| able >= step.1).map(|step| step.0);
+        Some(step.or(self.untold(now).then_some(0.25))? * self.pace)
+    }
+    /// Guards against a list that tells of a new start too late: one that was gone and answers again counts
+    /// as just started, but for a quarter, until the list has had the time to say so.
+    fn untold(&self, now: f64) -> bool {
+        now < self.back_at + UNTOLD_FOR
     }
     /// The part of its capacity that the slowest warming has brought it.
     fn able(&self, now: f64, warmup: &Warmup) -> f64 {
-        let age = self.cold_since.map_or(2.0, |since| (now - since) / warmup.within);
+        let since = self.cold_since.or(Some(self.back_at).filter(|_| self.untold(now)));
+        let age = since.map_or(2.0, |since| (now - since) / warmup.within);
         f64::min(1.0, warmup.from + (1.0 - warmup.from) * age)
     }
 
@@ -446,10 +461,12 @@
             }
             Event::Left { proxy } => self.left(*proxy),
             Event::Met { host, zone, tries, voided, mean, over, .. } => {
-                // While one that started anew is out, sums still tell of tries from before its start.
-                let in_use = !self.present.held.contains(host);
-                let host =
-                    self.hosts.get_mut(host).filter(|host| in_use || host.able(now, &self.warmup) >= 1.0);
+                // While one that started anew is out, and as long after as a sum covers, sums still tell of
+                // tries from before that: they gate what has just come back.
+                let out = self.present.held.contains(host);
+                let host = self.hosts.get_mut(host).filter(|host| {
+                    host.able(now, &self.warmup) >= 1.0 || !out && now - over > host.let_in_at
+                });
                 if let Some(host) = host {
                     host.met.entry(*zone).or_default().add(now, Tally::new(*tries, *voided, *mean, *over));
                     (host.summed, self.summed_at) = (true, now);
@@ -471,6 +488,11 @@
                     let pass = passes(*outcome, &host.met(now, span)).filter(|_| !spared);
                     (host.busy, host.told) = (report.busy.or(host.busy), None);
                     host.gate.count(now, pass, 1, 0.0);
+                    host.away |= host.gate.shut && matches!(outcome, Outcome::Unreachable | Outcome::Reset);
+                    if pass == Some(true) && std::mem::take(&mut host.away) {
+                        host.back_at = now;
+                        host.met.clear();
+                    }
                     self.room -= if host.gate.shut && !shut { host.weight } else { 0.0 };
                     self.urgent |= host.gate.shut && pass != Some(shut);
                     // A fail is asked after soon: a run then shows in little over a second.
@@ -544,7 +566,8 @@
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host {
                 zone, place: free, weight, standing, cold_since: None, gate: Gate::default(), pace: 1.0,
                 met: BTreeMap::new(), summed: false, busy: None, told: None, probed_at: f64::MIN,
-                paced_at: f64::MIN, kept: 1.0,
+                paced_at: f64::MIN, kept: 1.0, away: false, back_at: f64::MIN,
+                let_in_at: f64::MIN,
             });
             (host.zone, host.standing, host.weight) = (zone, standing, weight);
             taken.insert((zone, host.place));
@@ -552,7 +575,7 @@
             if let Some(born) = entry.born.filter(|born| *born > known) {
                 // What it did before it started anew says nothing.
                 (host.gate, host.cold_since) = (Gate { shut: host.gate.shut, ..Gate::default() }, Some(born));
-                host.told = None;
+                (host.told, host.away) = (None, false);
                 host.met.clear();
             }
         }
@@ -807,16 +830,18 @@
         }
         // A host comes back once tables give it its weight, a cold one after the warm, lest it be alone.
         let cold = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.cold_since.is_some());
-        let back: Vec<HostId> = present.held.difference(&wanted.held).copied().collect();
-        let all_cold = back.iter().all(cold);
-        for host in back.into_iter().filter(|id| all_cold || !cold(id)) {
+        let back = present.held.difference(&wanted.held).map(|id| (*id, cold(id)));
+        let back: Vec<(HostId, bool)> = back.collect();
+        let all_cold = back.iter().all(|(_, cold)| *cold);
+        for (host, cold) in back.into_iter().filter(|(_, cold)| all_cold || !cold) {
             let ready = users.keys().all(|tbl| {
                 let weight = |plan: &Plan| plan.lines.get(tbl).and_then(|lines| lines.get(&host).copied());
-                weight(present) == weight(&wanted) || weight(&wanted).is_none() && !cold(&host)
+                weight(present) == weight(&wanted) || weight(&wanted).is_none() && !cold
             });
             let order = [Order::Withdraw { host, out: false }];
             if ready && reply.take(URGENT, &holders(present, host), 1.0, &order) {
                 present.held.remove(&host);
+                self.hosts.entry(host).and_modify(|host| host.let_in_at = now);
             }
         }
         for (&(tbl, products), &(level, tries)) in wanted.levels.iter().filter(|_| !self.awaits) {
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -8,6 +8,8 @@
     pub trace: String,
     pub now: f64,
     zones: u16,
+    /// The time that a sum covers.
+    pub span: f64,
     sums: Vec<Event>,
 }
 
@@ -61,7 +63,8 @@
         let roster = Roster { asked, ask_within: 1e4, grace: 2e3, removal_not_binding: false };
         let sums = Sums { every: 1_000.0, lines_per_s: 100.0 };
         let steward = Steward::new(post, products, channel, sidecars, warmup, roster, sums);
-        let mut fleet = Fleet { steward, trace: String::new(), now: 1_000.0, zones, sums: vec![] };
+        let mut fleet =
+            Fleet { steward, trace: String::new(), now: 1_000.0, zones, span: 1_000.0, sums: vec![] };
         let entries = (0..hosts).map(|host| fleet.entry(host)).collect();
         fleet.say(&[Event::List { news: ListNews::Restored, entries }]);
         fleet
@@ -101,7 +104,7 @@
     /// Sums go with what is said next.
     pub fn met(&mut self, host: u32, zone: u16, tries: u32, voided: u32, mean: f64) {
         let (host, zone, report) = (HostId(host), ZoneId(zone), LoadReport::default());
-        self.sums.push(Event::Met { host, zone, over: 1_000.0, tries, voided, mean, report });
+        self.sums.push(Event::Met { host, zone, over: self.span, tries, voided, mean, report });
     }
 
     pub fn came(&mut self, proxy: u16, product: u16, txns: u32) {
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -314,12 +314,16 @@
         7000 withdraw host2
         8000 answered host0
         9000 answered host0
+        9000 t0 host0 weight 0.25
         9000 restore host0
         10000 answered host0
         11000 answered host2
         12000 answered host2
+        12000 t0 host2 weight 0.25
         12000 restore host2
+        13000 t0 host0 weight 1
         13000 answered host2
+        16000 t0 host2 weight 1
     "#]]
     .assert_eq(&fleet.trace);
 }
@@ -346,6 +350,7 @@
         19000 answered host2
         20000 answered host2
         20000 t0 host0 weight 0.5
+        20000 t0 host2 weight 0.25
         20000 restore host2
         20200 restore host0
         20400 t0 host1 weight 0.25
@@ -353,7 +358,9 @@
         20400 t0 host5 weight 0.25
         21000 answered host4
         22000 answered host4
+        22000 t0 host4 weight 0.25
         22000 restore host4
+        24000 t0 host2 weight 1
     "#]]
     .assert_eq(&fleet.trace);
 }
@@ -623,6 +630,65 @@
     .assert_eq(&fleet.trace);
 }
 
+/// Day of many stewards: a zone was lost and came back cold, the list told of it a second late, and all
+/// stewards gave its hosts their whole weight meanwhile. A quarter fell over.
+#[test]
+fn a_host_that_was_gone_comes_back_by_a_quarter_before_the_list_tells_why() {
+    let mut fleet = Fleet::new(1, 4);
+    fleet.join(0);
+    fleet.probes(1, &[Outcome::Unreachable; 3]);
+    fleet.trace.clear();
+    fleet.probes(1, &[Outcome::Answered; 2]);
+    let started = fleet.now - 300.0;
+    fleet.note("host1 is listed with a new start");
+    fleet.list(1, Standing::On, Some(started));
+    fleet.run(50);
+    expect![[r#"
+        5000 answered host1
+        6000 answered host1
+        6000 t0 host1 weight 0.25
+        6000 restore host1
+        6000 host1 is listed with a new start
+        6000 admit t0 for 1: 1 One
+        14600 t0 host1 weight 0.5
+    "#]]
+    .assert_eq(&fleet.trace);
+}
+
+/// The same day: sums cover the time of many pairs, so they told of tries from before a host was let in and
+/// gated a quarter of those that had just come back, for eight seconds.
+#[test]
+fn sums_from_before_a_cold_host_was_let_in_gate_nobody() {
+    let mut fleet = Fleet::new(1, 4);
+    fleet.join(0);
+    fleet.probes(1, &[Outcome::Unreachable; 3]);
+    fleet.list(1, Standing::On, Some(fleet.now));
+    fleet.probes(1, &[Outcome::Answered; 2]);
+    fleet.run(10);
+    fleet.trace.clear();
+    fleet.note("sums of what was before");
+    let span = fleet.span;
+    fleet.span = 4_000.0;
+    for _ in 0..4 {
+        (0..4).for_each(|host| fleet.met(host, 0, 6, if host == 1 { 6 } else { 0 }, 100.0));
+        fleet.run(1);
+    }
+    fleet.run(30);
+    fleet.note("sums of what is");
+    fleet.span = span;
+    for _ in 0..4 {
+        (0..4).for_each(|host| fleet.met(host, 0, 6, if host == 1 { 6 } else { 0 }, 100.0));
+        fleet.run(1);
+    }
+    expect![[r#"
+        8000 sums of what was before
+        12800 t0 host1 weight 0.5
+        14800 sums of what is
+        15200 withdraw host1
+    "#]]
+    .assert_eq(&fleet.trace);
+}
+
 /// Guards queue and messages on sockets: a call that was repeated counts once more each time, so gates and
 /// then drains wait for room rather than pass a limit.
 #[test]
