A zone's first cold hosts back share its demand with neighbours; rare probes are spread

Their part now goes in finer steps the less a zone has open of its own, and up to 0.99 of a zone's demand may leave it. Also seen: 120 probes of all five stewards go in step every 2 to 4 s (a count of outcomes by 0.2 s), so a zone that dies at 0:08.2 is first noticed at 0:09.5 to 0:12 and gated at 0:10.5 to 0:13.1.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,7 @@
 use amberarch_core::*;
 use derive_more::{Add, Sum};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
+use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher, Hash};
 
 #[derive(Clone, Copy, Default, Add, Sum)]
 struct Tally {
@@ -55,6 +55,11 @@
     }
 }
 
+/// Below 1, the same for the same seed and count.
+fn chance(seed: u64, count: impl Hash) -> f64 {
+    (BuildHasherDefault::<DefaultHasher>::default().hash_one((seed, count)) % 1_000) as f64 / 1e3
+}
+
 fn median(mut of: Vec<f64>) -> f64 {
     of.sort_by(f64::total_cmp);
     of.get(of.len() / 2).copied().unwrap_or(0.0)
@@ -212,19 +217,23 @@
 }
 
 /// Neighbours' hosts join where a zone's own carry more than the fleet's share; all, where none is left.
-/// Costs crossings. Sticky quarters, so that small shifts write no orders.
+/// Costs crossings. Sticky quarters, so that small shifts write no orders; finer where a zone has little of
+/// its own open: a part rounded to nothing left all of its demand to the first cold hosts back.
 fn spill(parts: &mut BTreeMap<(ZoneId, ZoneId), f64>, weights: &[f64], demands: &[f64], movable: f64) {
     let fair = demands.iter().sum::<f64>() / weights.iter().sum::<f64>().max(1e-9);
     let room: Vec<f64> = weights.iter().zip(demands).map(|(w, d)| (w * fair - d).max(0.0)).collect();
     let all_room = room.iter().sum::<f64>().max(1e-9);
     for (place, (weight, demand)) in weights.iter().zip(demands).enumerate() {
-        let out = f64::min(0.95, (demand - weight * fair).max(0.0) / (movable * demand).max(1e-9));
+        let out = f64::min(0.99, (demand - weight * fair).max(0.0) / (movable * demand).max(1e-9));
+        let little = weight * weights.len() as f64 / weights.iter().sum::<f64>().max(1e-9);
+        let fine = 2f64.powf(little.clamp(0.01, 1.0).log2().ceil()) / 4.0;
         for other in (0..weights.len()).filter(|other| *other != place) {
             let flow = out * room[other] / all_room;
             let each = flow * weight / (1.0 - out) / weights[other].max(1e-9);
             let exact = if *weight > 0.0 { each } else { 1.0 };
             let part = parts.entry((ZoneId(place as u16), ZoneId(other as u16))).or_insert(0.0);
-            *part = if (exact - *part).abs() > 0.2 { (exact * 4.0).round().min(4.0) / 4.0 } else { *part };
+            let moves = (exact - *part).abs() > 0.8 * fine;
+            *part = if moves { f64::min(1.0, (exact / fine).round() * fine) } else { *part };
         }
     }
 }
@@ -448,9 +457,8 @@
     fn hear(&mut self, now: f64, event: &Event) {
         match event {
             Event::List { news: ListNews::Failed, .. } => {
-                let hashed = BuildHasherDefault::<DefaultHasher>::default();
-                let chance = 0.75 + (hashed.hash_one((self.post.seed, self.failures)) % 500) as f64 / 1e3;
-                let wait = 600.0 * 2f64.powi(self.failures.min(3)) * chance;
+                let spread = 0.75 + 0.5 * chance(self.post.seed, self.failures);
+                let wait = 600.0 * 2f64.powi(self.failures.min(3)) * spread;
                 (self.failures, self.ask_at) = (self.failures + 1, now + wait);
             }
             Event::List { news, entries } => self.learn(now, *news, entries),
@@ -603,11 +611,16 @@
         let calm = (4_000.0 * on().count() as f64 / asked).clamp(PROBE_PERIOD, 8.0 * PROBE_PERIOD);
         let told = on().filter_map(|host| host.told.filter(|told| now < told.1 + TOLD_FOR));
         let usual_load = median(told.map(|told| told.0).collect());
+        let mut failing: BTreeMap<ZoneId, u32> = BTreeMap::new();
+        let fails = on().filter(|host| host.gate.fails > 0 && !host.gate.shut);
+        fails.for_each(|host| *failing.entry(host.zone).or_default() += 1);
         for (id, host) in self.hosts.iter_mut().filter(|(_, host)| host.standing == Standing::On) {
             host.lighten(now, usual_load, self.cover, &self.warmup);
             let period = if host.gate.shut || host.gate.fails > 0 { PROBE_PERIOD } else { calm };
+            let period = if failing.get(&host.zone) > Some(&1) { period.min(PROBE_PERIOD) } else { period };
             if self.post.may_probe && now >= host.probed_at + period - 1.0 {
-                host.probed_at = now;
+                // Rare ones are spread, so that the first two of a zone that dies are seen at once.
+                host.probed_at = now + (period - PROBE_PERIOD) * (chance(self.post.seed, (id, now as u64)) - 0.5);
                 out.push(Order::Probe { host: *id });
             }
             if std::mem::take(&mut host.summed) {
