Hosts of a slow kind carry less, by the sums of all of their kind together

`Host::ease` goes by each host's own sums: 120 lines a second of some 1,300 pairs give a host a handful of tries in 4 to 9 s, and a step waits for two such spans, so the part of the slow kind was 0.95 at 0:07 and 0.66 at 0:37. All of a kind together show it at 0:05 (250 tries each). Ruled out: the channel (waiting near 0 outside the trouble), late probes, spill (0.0), the share of a core (0.03 s in the worst second).

Change: where all listed weights are alike and the fleet is not strained, a kind whose pooled good answers (60 at least) take 1.6 times the quickest kind's and a fifth of the SLA time carries less, in sticky steps down to a half; a new host of that kind begins there (`pace_kinds`). Taken out again: probes spread over their period and a zone asked at once when two of it fail.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,11 +3,11 @@
 //! departs from it when, is told in docs/design.md; the departures also beside the code.
 
 use amberarch_core::*;
-use derive_more::{Add, Sum};
+use derive_more::{Add, AddAssign, Sum};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher, Hash};
+use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
 
-#[derive(Clone, Copy, Default, Add, Sum)]
+#[derive(Clone, Copy, Default, Add, AddAssign, Sum)]
 struct Tally {
     tries: f64,
     voided: f64,
@@ -55,11 +55,6 @@
     }
 }
 
-/// Below 1, the same for the same seed and count.
-fn chance(seed: u64, count: impl Hash) -> f64 {
-    (BuildHasherDefault::<DefaultHasher>::default().hash_one((seed, count)) % 1_000) as f64 / 1e3
-}
-
 fn median(mut of: Vec<f64>) -> f64 {
     of.sort_by(f64::total_cmp);
     of.get(of.len() / 2).copied().unwrap_or(0.0)
@@ -110,8 +105,7 @@
     }
 }
 
-/// Half as much waits as runs, and twice the median host's load: of nine pairs tried on emulated days, the
-/// one that eases no host on a steady day and most of those that are overrun.
+/// Half as much waits as runs, and twice the median's load: of nine pairs on emulated days the best.
 pub const FULL_LOAD: f64 = 1.5;
 pub const BESIDE: f64 = 2.0;
 /// So long a told load stands, and so surely it must be known.
@@ -126,14 +120,13 @@
 
 struct Host {
     zone: ZoneId,
+    kind: KindId,
     place: u32,
     weight: f64,
     standing: Standing,
     cold_since: Option<f64>,
-    /// It was gone from the net when it was shut out; and when it answered again.
-    away: bool,
+    /// When it answered again after it was gone; infinity: it is gone. And when it was let in last.
     back_at: f64,
-    /// When it was let in last.
     let_in_at: f64,
     gate: Gate,
     met: BTreeMap<ZoneId, Ring>,
@@ -161,10 +154,9 @@
         let step = steps.iter().find(|step| able >= step.1).map(|step| step.0);
         Some(step.or(self.untold(now).then_some(0.25))? * self.pace)
     }
-    /// Guards against a list that tells of a new start too late: one that was gone and answers again counts
-    /// as just started, but for a quarter, until the list has had the time to say so.
+    /// Guards against a list that tells of a new start too late: one back counts as cold until that is due.
     fn untold(&self, now: f64) -> bool {
-        now < self.back_at + UNTOLD_FOR
+        self.back_at <= now && now < self.back_at + UNTOLD_FOR
     }
     /// The part of its capacity that the slowest warming has brought it.
     fn able(&self, now: f64, warmup: &Warmup) -> f64 {
@@ -217,8 +209,8 @@
 }
 
 /// Neighbours' hosts join where a zone's own carry more than the fleet's share; all, where none is left.
-/// Costs crossings. Sticky quarters, so that small shifts write no orders; finer where a zone has little of
-/// its own open: a part rounded to nothing left all of its demand to the first cold hosts back.
+/// Costs crossings. Sticky quarters, lest small shifts write orders; finer where little of a zone's own is
+/// open, lest the first cold hosts back get all of its demand by rounding.
 fn spill(parts: &mut BTreeMap<(ZoneId, ZoneId), f64>, weights: &[f64], demands: &[f64], movable: f64) {
     let fair = demands.iter().sum::<f64>() / weights.iter().sum::<f64>().max(1e-9);
     let room: Vec<f64> = weights.iter().zip(demands).map(|(w, d)| (w * fair - d).max(0.0)).collect();
@@ -401,6 +393,8 @@
     present: Plan,
     room: f64,
     strained: bool,
+    /// The part of their listed weight that hosts of a kind carry, and when that was last changed.
+    kinds: BTreeMap<KindId, (f64, f64)>,
     summed_at: f64,
     cover: f64,
     planned_at: f64,
@@ -448,17 +442,18 @@
             masks, post, products, sla, sidecars, warmup, sums, channel, roster,
             sent: VecDeque::new(), marks: 0, cover: 0.0, best: 0.0, room: 0.0, failures: 0, ask_at: f64::MIN,
             spill: BTreeMap::new(), present: Plan::default(), fresh: true, urgent: false, strained: false,
-            levels: BTreeMap::new(), hosts: BTreeMap::new(), proxies: BTreeMap::new(), usual_voided: 0.0,
-            bounds: BTreeMap::new(), awaits: false, summed_at: f64::MIN, planned_at: f64::MIN,
-            still_until: f64::MIN,
+            levels: BTreeMap::new(), kinds: BTreeMap::new(), hosts: BTreeMap::new(), proxies: BTreeMap::new(),
+            usual_voided: 0.0, bounds: BTreeMap::new(), awaits: false, summed_at: f64::MIN,
+            planned_at: f64::MIN, still_until: f64::MIN,
         }
     }
 
     fn hear(&mut self, now: f64, event: &Event) {
         match event {
             Event::List { news: ListNews::Failed, .. } => {
-                let spread = 0.75 + 0.5 * chance(self.post.seed, self.failures);
-                let wait = 600.0 * 2f64.powi(self.failures.min(3)) * spread;
+                let hashed = BuildHasherDefault::<DefaultHasher>::default();
+                let chance = 0.75 + (hashed.hash_one((self.post.seed, self.failures)) % 500) as f64 / 1e3;
+                let wait = 600.0 * 2f64.powi(self.failures.min(3)) * chance;
                 (self.failures, self.ask_at) = (self.failures + 1, now + wait);
             }
             Event::List { news, entries } => self.learn(now, *news, entries),
@@ -469,13 +464,11 @@
             }
             Event::Left { proxy } => self.left(*proxy),
             Event::Met { host, zone, tries, voided, mean, over, .. } => {
-                // While one that started anew is out, and as long after as a sum covers, sums still tell of
-                // tries from before that: they gate what has just come back.
-                let out = self.present.held.contains(host);
-                let host = self.hosts.get_mut(host).filter(|host| {
-                    host.able(now, &self.warmup) >= 1.0 || !out && now - over > host.let_in_at
-                });
-                if let Some(host) = host {
+                // While one that started anew is out, and as long after as they cover, sums tell of before.
+                let (out, from, warmup) = (self.present.held.contains(host), now - over, &self.warmup);
+                let counts =
+                    |host: &&mut Host| host.able(now, warmup) >= 1.0 || !out && from > host.let_in_at;
+                if let Some(host) = self.hosts.get_mut(host).filter(counts) {
                     host.met.entry(*zone).or_default().add(now, Tally::new(*tries, *voided, *mean, *over));
                     (host.summed, self.summed_at) = (true, now);
                     host.told = host.told.filter(|told| told.1 > now - over / 2.0);
@@ -496,23 +489,22 @@
                     let pass = passes(*outcome, &host.met(now, span)).filter(|_| !spared);
                     (host.busy, host.told) = (report.busy.or(host.busy), None);
                     host.gate.count(now, pass, 1, 0.0);
-                    host.away |= host.gate.shut && matches!(outcome, Outcome::Unreachable | Outcome::Reset);
-                    if pass == Some(true) && std::mem::take(&mut host.away) {
-                        host.back_at = now;
-                        host.met.clear();
+                    if host.gate.shut && matches!(outcome, Outcome::Unreachable | Outcome::Reset) {
+                        host.back_at = f64::INFINITY;
+                    } else if pass == Some(true) && host.back_at > now {
+                        (host.back_at, host.met) = (now, BTreeMap::new());
                     }
                     self.room -= if host.gate.shut && !shut { host.weight } else { 0.0 };
                     self.urgent |= host.gate.shut && pass != Some(shut);
                     // A fail is asked after soon: a run then shows in little over a second.
-                    if pass == Some(false) && !host.gate.shut {
-                        host.probed_at = now + TICK - PROBE_PERIOD;
-                    }
+                    let soon = pass == Some(false) && !host.gate.shut;
+                    host.probed_at = if soon { now + TICK - PROBE_PERIOD } else { host.probed_at };
                 }
             }
             Event::Load { host, load, age, sure } => {
                 if let Some(host) = self.hosts.get_mut(host) {
-                    let born = host.cold_since.unwrap_or(f64::MIN);
-                    host.told = Some((*load, now - age)).filter(|told| *sure >= SURE && told.1 > born);
+                    let told = Some((*load, now - age)).filter(|_| *sure >= SURE);
+                    host.told = told.filter(|told| Some(told.1) > host.cold_since);
                     host.busy = host.told.map(|told| told.0).or(host.busy);
                 }
             }
@@ -563,19 +555,18 @@
         let mut entries: Vec<&Listed> = entries.iter().collect();
         entries.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(a.kind.cmp(&b.kind)));
         for entry in entries {
-            let (zone, standing) = (entry.zone, entry.standing);
+            let (zone, standing, kind) = (entry.zone, entry.standing, entry.kind);
             let weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
             // One that is new here may be one that was let go while shut out: it is let in like those.
-            let known = first || self.hosts.contains_key(&entry.host);
-            let new = news != ListNews::Restored && !known;
+            let new = news != ListNews::Restored && !first && !self.hosts.contains_key(&entry.host);
             self.present.held.extend(new.then_some(entry.host));
             let free = (0..).find(|place| !taken.contains(&(zone, *place))).unwrap_or(0);
             #[rustfmt::skip]
             let host = self.hosts.entry(entry.host).or_insert_with(|| Host {
-                zone, place: free, weight, standing, cold_since: None, gate: Gate::default(), pace: 1.0,
+                zone, place: free, weight, standing, kind, cold_since: None, gate: Gate::default(),
+                pace: self.kinds.get(&kind).map_or(1.0, |kind| kind.0), paced_at: f64::MIN, kept: 1.0,
                 met: BTreeMap::new(), summed: false, busy: None, told: None, probed_at: f64::MIN,
-                paced_at: f64::MIN, kept: 1.0, away: false, back_at: f64::MIN,
-                let_in_at: f64::MIN,
+                back_at: f64::MIN, let_in_at: f64::MIN,
             });
             (host.zone, host.standing, host.weight) = (zone, standing, weight);
             taken.insert((zone, host.place));
@@ -583,7 +574,7 @@
             if let Some(born) = entry.born.filter(|born| *born > known) {
                 // What it did before it started anew says nothing.
                 (host.gate, host.cold_since) = (Gate { shut: host.gate.shut, ..Gate::default() }, Some(born));
-                (host.told, host.away) = (None, false);
+                (host.told, host.back_at) = (None, if host.back_at > now { f64::MIN } else { host.back_at });
                 host.met.clear();
             }
         }
@@ -609,18 +600,16 @@
         // One probe to four txns at the most, each a second at least where something is amiss.
         let asked = self.proxies.values().map(|proxy| proxy.joined_rate).sum::<f64>().max(1.0);
         let calm = (4_000.0 * on().count() as f64 / asked).clamp(PROBE_PERIOD, 8.0 * PROBE_PERIOD);
-        let told = on().filter_map(|host| host.told.filter(|told| now < told.1 + TOLD_FOR));
-        let usual_load = median(told.map(|told| told.0).collect());
-        let mut failing: BTreeMap<ZoneId, u32> = BTreeMap::new();
-        let fails = on().filter(|host| host.gate.fails > 0 && !host.gate.shut);
-        fails.for_each(|host| *failing.entry(host.zone).or_default() += 1);
+        let told = on().filter_map(|host| host.told.filter(|at| now < at.1 + TOLD_FOR)).map(|at| at.0);
+        let usual_load = median(told.collect());
+        self.pace_kinds(now);
         for (id, host) in self.hosts.iter_mut().filter(|(_, host)| host.standing == Standing::On) {
+            let kind = self.kinds.get(&host.kind).filter(|(pace, at)| *at == now && host.pace > *pace);
+            (host.pace, host.paced_at) = *kind.unwrap_or(&(host.pace, host.paced_at));
             host.lighten(now, usual_load, self.cover, &self.warmup);
             let period = if host.gate.shut || host.gate.fails > 0 { PROBE_PERIOD } else { calm };
-            let period = if failing.get(&host.zone) > Some(&1) { period.min(PROBE_PERIOD) } else { period };
             if self.post.may_probe && now >= host.probed_at + period - 1.0 {
-                // Rare ones are spread, so that the first two of a zone that dies are seen at once.
-                host.probed_at = now + (period - PROBE_PERIOD) * (chance(self.post.seed, (id, now as u64)) - 0.5);
+                host.probed_at = now;
                 out.push(Order::Probe { host: *id });
             }
             if std::mem::take(&mut host.summed) {
@@ -640,6 +629,25 @@
         }
     }
 
+    /// Guards against a slow kind of host at a quick one's weight, where none is listed and sums come rarely:
+    /// all of a kind together show in one round what each shows in three. Up again each host comes by itself.
+    fn pace_kinds(&mut self, now: f64) {
+        let on = || self.hosts.values().filter(|host| host.standing == Standing::On && !host.gate.shut);
+        let unlisted = on().zip(on().skip(1)).all(|(host, other)| host.weight == other.weight);
+        let mut met: BTreeMap<KindId, Tally> = BTreeMap::new();
+        for host in on().filter(|host| unlisted && !self.strained && host.able(now, &self.warmup) >= 1.0) {
+            *met.entry(host.kind).or_default() += host.met(now, self.cover + BUCKET);
+        }
+        met.retain(|_, real| real.good() >= 60.0);
+        let quickest = met.values().map(Tally::mean).fold(f64::MAX, f64::min);
+        let slow = |real: &Tally| real.mean() > f64::max(1.6 * quickest, 0.2 * self.sla);
+        for (kind, real) in met.into_iter().filter(|(_, real)| slow(real)) {
+            let (pace, at) = self.kinds.entry(kind).or_insert((1.0, f64::MIN));
+            let to = f64::max(0.5, *pace * (1.2 * quickest / real.mean()).clamp(0.5, 0.75));
+            (*pace, *at) = if now >= *at + self.cover + 2_000.0 { (to, now) } else { (*pace, *at) };
+        }
+    }
+
     fn asks(&self, now: f64, zone: ZoneId) -> Vec<Ask> {
         let (span, count) = (f64::max(5_000.0, self.cover + BUCKET), self.products.len());
         let ask = |(place, product): (usize, &Product)| {
@@ -821,8 +829,7 @@
             // What goes is removed once all that comes back serves, or the rest would get it all, or none.
             let back = |id: &HostId| present.held.contains(id) && !wanted.held.contains(id);
             let serves = !lines.keys().any(back) && !lines.keys().all(|id| present.held.contains(id));
-            // Where nothing serves nothing is lost, and a cold host waits for its line to go: zones that all
-            // restarted had each other's hosts in their tables, and both waited for good.
+            // Where nothing serves nothing is lost: zones that all restarted waited for each other for good.
             let bare = standing.keys().all(|host| present.held.contains(host));
             let serves = serves || bare && !standing.is_empty() && !lines.is_empty();
             let gone = standing.keys().filter(|id| serves && !lines.contains_key(id)).map(|id| (*id, 0.0));
@@ -843,8 +850,7 @@
         }
         // A host comes back once tables give it its weight, a cold one after the warm, lest it be alone.
         let cold = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.cold_since.is_some());
-        let back = present.held.difference(&wanted.held).map(|id| (*id, cold(id)));
-        let back: Vec<(HostId, bool)> = back.collect();
+        let back = present.held.difference(&wanted.held).map(|id| (*id, cold(id))).collect::<Vec<_>>();
         let all_cold = back.iter().all(|(_, cold)| *cold);
         for (host, cold) in back.into_iter().filter(|(_, cold)| all_cold || !cold) {
             let ready = users.keys().all(|tbl| {
