A kind is paced as a whole only where each host's own sums come rarely

Change: a kind is paced as a whole only while a sum covers over one and a half periods, and never set again to the part it has.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -457,10 +457,9 @@
                 (self.failures, self.ask_at) = (self.failures + 1, now + wait);
             }
             Event::List { news, entries } => self.learn(now, *news, entries),
-            Event::Joined { proxy, zone, txns_per_s, .. } => {
+            Event::Joined { proxy, zone, txns_per_s: rate, .. } => {
                 self.left(*proxy);
-                self.proxies
-                    .insert(*proxy, Proxy { zone: *zone, joined_rate: *txns_per_s, ..Proxy::default() });
+                self.proxies.insert(*proxy, Proxy { zone: *zone, joined_rate: *rate, ..Proxy::default() });
             }
             Event::Left { proxy } => self.left(*proxy),
             Event::Met { host, zone, tries, voided, mean, over, .. } => {
@@ -600,8 +599,8 @@
         // One probe to four txns at the most, each a second at least where something is amiss.
         let asked = self.proxies.values().map(|proxy| proxy.joined_rate).sum::<f64>().max(1.0);
         let calm = (4_000.0 * on().count() as f64 / asked).clamp(PROBE_PERIOD, 8.0 * PROBE_PERIOD);
-        let told = on().filter_map(|host| host.told.filter(|at| now < at.1 + TOLD_FOR)).map(|at| at.0);
-        let usual_load = median(told.collect());
+        let told = on().filter_map(|host| host.told).filter(|told| now < told.1 + TOLD_FOR);
+        let usual_load = median(told.map(|told| told.0).collect());
         self.pace_kinds(now);
         for (id, host) in self.hosts.iter_mut().filter(|(_, host)| host.standing == Standing::On) {
             let kind = self.kinds.get(&host.kind).filter(|(pace, at)| *at == now && host.pace > *pace);
@@ -633,18 +632,20 @@
     /// all of a kind together show in one round what each shows in three. Up again each host comes by itself.
     fn pace_kinds(&mut self, now: f64) {
         let on = || self.hosts.values().filter(|host| host.standing == Standing::On && !host.gate.shut);
-        let unlisted = on().zip(on().skip(1)).all(|(host, other)| host.weight == other.weight);
-        let mut met: BTreeMap<KindId, Tally> = BTreeMap::new();
-        for host in on().filter(|host| unlisted && !self.strained && host.able(now, &self.warmup) >= 1.0) {
+        let listed = on().zip(on().skip(1)).any(|(host, other)| host.weight != other.weight);
+        let (mut met, rare) = (BTreeMap::<KindId, Tally>::new(), self.cover > 1.5 * self.sums.every);
+        let told = |host: &&Host| rare && !listed && !self.strained && host.able(now, &self.warmup) >= 1.0;
+        for host in on().filter(told) {
             *met.entry(host.kind).or_default() += host.met(now, self.cover + BUCKET);
         }
         met.retain(|_, real| real.good() >= 60.0);
         let quickest = met.values().map(Tally::mean).fold(f64::MAX, f64::min);
-        let slow = |real: &Tally| real.mean() > f64::max(1.6 * quickest, 0.2 * self.sla);
-        for (kind, real) in met.into_iter().filter(|(_, real)| slow(real)) {
+        met.retain(|_, real| real.mean() > f64::max(1.6 * quickest, 0.2 * self.sla));
+        for (kind, real) in met {
             let (pace, at) = self.kinds.entry(kind).or_insert((1.0, f64::MIN));
             let to = f64::max(0.5, *pace * (1.2 * quickest / real.mean()).clamp(0.5, 0.75));
-            (*pace, *at) = if now >= *at + self.cover + 2_000.0 { (to, now) } else { (*pace, *at) };
+            let due = to < *pace && now >= *at + self.cover + 2_000.0;
+            (*pace, *at) = if due { (to, now) } else { (*pace, *at) };
         }
     }
 
