What waits for proxies that may have left still counts against the queue

At 0:29.4 the news stands again ('the news broke off' after 'is silent'), all proxies count as left and come back, and `Steward::left` took their lines off what waits, though the streams stood all the time and the old orders went out next, in the same second as the binds of 340 proxies. Ruled out: repeats of the unsure call (21 orders, counted by Again), the estimate of a bind (twice its lines).

Change: lines that waited for a proxy that left stay counted, and fall at half the channel's pace (it may be slower for a while), so nothing waits on answers that never come. A trace fails without it (14 binds at once instead of 3, 6 and 5).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -377,8 +377,10 @@
     failures: i32,
     ask_at: f64,
     channel: Channel,
-    /// What waits in the channel, at the most: an answer to a mark shows that all before it has left.
+    /// What waits in the channel, at the most: an answer to a mark shows that all before it has left. And
+    /// what waited for proxies that left, as after a gap they may still get it, at half the channel's pace.
     sent: VecDeque<(MarkId, BTreeMap<ProxyId, f64>)>,
+    lost: f64,
     marks: u16,
     hosts: BTreeMap<HostId, Host>,
     proxies: BTreeMap<ProxyId, Proxy>,
@@ -410,9 +412,7 @@
         let mut out = Vec::new();
         events.iter().for_each(|event| self.hear(now, event));
         let due = std::mem::take(&mut self.fresh) || events.iter().any(|e| matches!(e, Event::Due { .. }));
-        if due {
-            out.push(Order::Timer { after: TICK, timer: TimerId(0) });
-        }
+        out.extend(due.then_some(Order::Timer { after: TICK, timer: TimerId(0) }));
         // Where the list must be asked it is watched; after a failure asked again, ever more rarely.
         if self.roster.asked && now >= self.ask_at {
             self.ask_at = f64::MAX;
@@ -422,6 +422,7 @@
         if self.post.slices == 0 && (due || self.urgent && now >= self.planned_at + TICK / 4.0) {
             self.judge(now, &mut out);
             let wanted = self.want(now);
+            self.lost = (self.lost - (now - self.planned_at) * self.channel.lines_per_s / 2_000.0).max(0.0);
             (self.urgent, self.planned_at) = (false, now);
             self.publish(now, wanted, &mut out);
         }
@@ -440,10 +441,10 @@
         let masks = [false, true].map(|own| Products(of(own).fold(0, |mask, (at, _)| mask | (1 << at))));
         Steward {
             masks, post, products, sla, sidecars, warmup, sums, channel, roster,
-            sent: VecDeque::new(), marks: 0, cover: 0.0, best: 0.0, room: 0.0, failures: 0, ask_at: f64::MIN,
-            spill: BTreeMap::new(), present: Plan::default(), fresh: true, urgent: false, strained: false,
+            sent: VecDeque::new(), lost: 0.0, marks: 0, cover: 0.0, best: 0.0, room: 0.0, failures: 0,
+            ask_at: f64::MIN, spill: BTreeMap::new(), present: Plan::default(), fresh: true, urgent: false,
             levels: BTreeMap::new(), kinds: BTreeMap::new(), hosts: BTreeMap::new(), proxies: BTreeMap::new(),
-            usual_voided: 0.0, bounds: BTreeMap::new(), awaits: false, summed_at: f64::MIN,
+            usual_voided: 0.0, bounds: BTreeMap::new(), awaits: false, summed_at: f64::MIN, strained: false,
             planned_at: f64::MIN, still_until: f64::MIN,
         }
     }
@@ -538,6 +539,7 @@
     fn left(&mut self, proxy: ProxyId) {
         self.proxies.remove(&proxy);
         self.present.binds.retain(|(bound, _), _| *bound != proxy);
+        self.lost += self.sent.iter().filter_map(|sent| sent.1.get(&proxy)).sum::<f64>();
         self.sent.retain_mut(|sent| sent.1.remove(&proxy).is_none() || !sent.1.is_empty());
     }
 
@@ -548,9 +550,8 @@
         // Places are dealt by weight, the lowest free one first, so that tables of one size carry alike.
         let listed = self.hosts.values().filter(|host| host.standing != Standing::Gone);
         let mut taken: BTreeSet<(ZoneId, u32)> = listed.map(|host| (host.zone, host.place)).collect();
-        if news != ListNews::Changes {
-            self.hosts.values_mut().for_each(|host| host.standing = Standing::Gone);
-        }
+        let anew = self.hosts.values_mut().filter(|_| news != ListNews::Changes);
+        anew.for_each(|host| host.standing = Standing::Gone);
         let mut entries: Vec<&Listed> = entries.iter().collect();
         entries.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(a.kind.cmp(&b.kind)));
         for entry in entries {
@@ -621,9 +622,8 @@
                     host.gate.count(now, Some(false), 1 + (self.cover / PROBE_PERIOD) as u32, 8_000.0);
                 }
             }
-            if host.pace != std::mem::replace(&mut host.kept, host.pace) {
-                out.push(Order::Learnt { host: *id, part: host.pace });
-            }
+            let learnt = host.pace != std::mem::replace(&mut host.kept, host.pace);
+            out.extend(learnt.then_some(Order::Learnt { host: *id, part: host.pace }));
             host.gate.shut &= host.gate.passes < PASSES_TO_LIFT || now < host.gate.until;
         }
     }
@@ -800,7 +800,7 @@
     /// What differs from the present goes out, the urgent first; what the channel does not take now waits.
     fn publish(&mut self, now: f64, wanted: Plan, out: &mut Vec<Order>) {
         let (channel, proxies) = (&self.channel, &self.proxies);
-        let waiting = self.sent.iter().flat_map(|sent| sent.1.values()).sum();
+        let waiting = self.sent.iter().flat_map(|sent| sent.1.values()).sum::<f64>() + self.lost;
         let mut reply = Reply { now, channel, proxies, lines: BTreeMap::new(), waiting, orders: vec![] };
         let present = &mut self.present;
         let number = |(zone, confined, node): Tbl| {
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -752,6 +752,22 @@
     .assert_eq(&fleet.trace);
 }
 
+/// Day of many stewards: the relay was out of reach for six seconds and 860 orders waited. After the gap all
+/// proxies counted as come back, their old lines as gone: 46,125 waited where 38,400 may.
+#[test]
+fn what_waits_for_proxies_that_may_have_left_still_counts() {
+    let mut fleet = Fleet::new(1, 4);
+    (0..14).for_each(|proxy| fleet.join(proxy));
+    fleet.trace.clear();
+    let joined =
+        |proxy| Event::Joined { proxy: ProxyId(proxy), zone: ZoneId(0), txns_per_s: 10.0, fresh: false };
+    fleet.say(&(0..14).map(joined).collect::<Vec<_>>());
+    fleet.run(4);
+    let mut binds = std::collections::BTreeMap::new();
+    fleet.trace.lines().for_each(|line| *binds.entry(line.split(' ').next()).or_insert(0) += 1);
+    expect![[r#"{Some("1000"): 3, Some("1200"): 6, Some("1400"): 5}"#]].assert_eq(&format!("{binds:?}"));
+}
+
 /// Guards queue and messages on sockets: a call that was repeated counts once more each time, so gates and
 /// then drains wait for room rather than pass a limit.
 #[test]
