Routine orders fill no more than one and a half seconds of the channel

Where a backlog is 1 to 1.5 s of the channel, half of it is less than the new bound, so nothing changes there.

The trace fails without it (four weights at once instead of one).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -138,8 +138,7 @@
     /// The part of its listed weight that its speed bears out, and when that was last changed.
     pace: f64,
     paced_at: f64,
-    /// The part that was told last for a steward after this one.
-    kept: f64,
+    kept: f64, // Told last for a steward after this one.
 }
 
 impl Host {
@@ -321,7 +320,8 @@
     1e6
 }
 
-/// How much of backlog and message limit may be used by drains, by gates and bare proxies, by the rest.
+/// What part of backlog and messages drains may use, gates and bare proxies, the rest: that no more than
+/// 1.5 s of the channel, as what is urgent later stands behind it.
 const DRAIN: (f64, f64) = (0.95, 0.97);
 const URGENT: (f64, f64) = (0.85, 0.83);
 const ROUTINE: (f64, f64) = (0.5, 0.67);
@@ -344,7 +344,9 @@
         let mut fresh = whom.iter().filter(|id| !self.lines.contains_key(id));
         let cost = each * whom.len() as f64 + (channel.head + 1.0) * fresh.clone().count() as f64;
         let full = |id: &ProxyId| written(id) + 1.0 > may.1 * f64::from(channel.messages);
-        if channel.messages > 0 && fresh.any(full) || self.waiting + cost > may.0 * channel.backlog {
+        let pace = if may == ROUTINE { 1.5 * channel.lines_per_s } else { f64::MAX };
+        if channel.messages > 0 && fresh.any(full) || self.waiting + cost > pace.min(may.0 * channel.backlog)
+        {
             return false;
         }
         self.waiting += cost;
@@ -377,10 +379,9 @@
     failures: i32,
     ask_at: f64,
     channel: Channel,
-    /// What waits in the channel, at the most: an answer to a mark shows that all before it has left. And
-    /// what waited for proxies that left (after a gap they may get it), and the mark that came next.
+    /// What waits in the channel, at the most: an answer to a mark shows that all before it has left.
     sent: VecDeque<(MarkId, BTreeMap<ProxyId, f64>)>,
-    lost: (f64, u16),
+    lost: (f64, u16), // What waited for proxies that left: after a gap they may get it; the mark after it.
     marks: u16,
     hosts: BTreeMap<HostId, Host>,
     proxies: BTreeMap<ProxyId, Proxy>,
@@ -495,15 +496,14 @@
                     }
                     self.room -= if host.gate.shut && !shut { host.weight } else { 0.0 };
                     self.urgent |= host.gate.shut && pass != Some(shut);
-                    // A fail is asked after soon: a run then shows in little over a second.
-                    let soon = pass == Some(false) && !host.gate.shut;
+                    let soon = pass == Some(false) && !host.gate.shut; // A run shows in little over 1 s.
                     host.probed_at = if soon { now + TICK - PROBE_PERIOD } else { host.probed_at };
                 }
             }
             Event::Load { host, load, age, sure } => {
                 if let Some(host) = self.hosts.get_mut(host) {
-                    let told = Some((*load, now - age)).filter(|_| *sure >= SURE);
-                    host.told = told.filter(|told| Some(told.1) > host.cold_since);
+                    let fits = |told: &(f64, f64)| *sure >= SURE && Some(told.1) > host.cold_since;
+                    host.told = Some((*load, now - age)).filter(fits);
                     host.busy = host.told.map(|told| told.0).or(host.busy);
                 }
             }
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -26,16 +26,22 @@
     }
 
     pub fn asked(zones: u16, hosts: u32) -> Fleet {
-        Fleet::made(zones, hosts, vec![product(Effect::InquiryLike)], LevelKind::Off, (true, 1))
+        Fleet::made(zones, hosts, vec![product(Effect::InquiryLike)], LevelKind::Off, (true, 1), 300.0)
     }
 
     /// One of several stewards, each with the proxies of its zone.
     pub fn of_many(zones: u16, hosts: u32) -> Fleet {
-        Fleet::made(zones, hosts, vec![product(Effect::InquiryLike)], LevelKind::Off, (false, 2))
+        Fleet::made(zones, hosts, vec![product(Effect::InquiryLike)], LevelKind::Off, (false, 2), 300.0)
     }
 
     pub fn with(zones: u16, hosts: u32, products: Vec<Product>, levels: LevelKind) -> Fleet {
-        Fleet::made(zones, hosts, products, levels, (false, 1))
+        Fleet::made(zones, hosts, products, levels, (false, 1), 300.0)
+    }
+
+    /// The channel sends 1,000 lines a second.
+    pub fn with_channel(zones: u16, hosts: u32, backlog: f64) -> Fleet {
+        let products = vec![product(Effect::InquiryLike)];
+        Fleet::made(zones, hosts, products, LevelKind::Off, (false, 1), backlog)
     }
 
     fn made(
@@ -44,13 +50,14 @@
         products: Vec<Product>,
         levels: LevelKind,
         (asked, stewards): (bool, u32),
+        backlog: f64,
     ) -> Fleet {
         let zone = ZoneId(0);
         let post = Post { seed: 1, zone, zones, stewards, by_zone: true, slices: 0, may_probe: true };
         let channel = Channel {
             lines_per_s: 1_000.0,
             head: 3.0,
-            backlog: 300.0,
+            backlog,
             messages: 30,
             messages_over: 10_000.0,
             transit: 200.0,
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -752,6 +752,33 @@
     .assert_eq(&fleet.trace);
 }
 
+/// Day of many stewards: the backlog allowed 13 s of lines and routine orders kept half of it full, so binds
+/// that tell of hosts shut out came after the grace.
+#[test]
+fn routine_orders_wait_for_no_more_than_the_channel_sends_soon() {
+    let mut fleet = Fleet::with_channel(1, 4, 60_000.0);
+    let joined =
+        |proxy| Event::Joined { proxy: ProxyId(proxy), zone: ZoneId(0), txns_per_s: 10.0, fresh: true };
+    fleet.say(&(0..200).map(joined).collect::<Vec<_>>());
+    fleet.catch_up(200);
+    fleet.trace.clear();
+    fleet.note("more weight for each host in turn, 1,000 lines");
+    for host in 0..4 {
+        let entry = Listed { weight: 2.0 + f64::from(host), ..fleet.entry(host) };
+        fleet.say(&[Event::List { news: ListNews::Changes, entries: vec![entry] }]);
+        fleet.run(1);
+    }
+    fleet.note("a drain goes ahead of what was not written");
+    fleet.list(3, Standing::Draining, None);
+    expect![[r#"
+        1000 more weight for each host in turn, 1,000 lines
+        1000 t0 host0 weight 2
+        1800 a drain goes ahead of what was not written
+        1800 withdraw host3
+    "#]]
+    .assert_eq(&fleet.trace);
+}
+
 /// How many proxies are bound, by time.
 fn binds(fleet: &Fleet) -> String {
     let mut binds = std::collections::BTreeMap::new();
