Sums that come each period count for a host just let in

With sums of cold hosts passed over for as long as they cover, a small fleet had no sums at all after its restart. Change: only a sum that covers over one and a half periods, as where there are many pairs, is passed over.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -465,8 +465,8 @@
             }
             Event::Left { proxy } => self.left(*proxy),
             Event::Met { host, zone, tries, voided, mean, over, .. } => {
-                // While one that started anew is out, and as long after as they cover, sums tell of before.
-                let (out, from, warmup) = (self.present.held.contains(host), now - over, &self.warmup);
+                let from = if *over > 1.5 * self.sums.every { now - over } else { now };
+                let (out, warmup) = (self.present.held.contains(host), &self.warmup);
                 let counts =
                     |host: &&mut Host| host.able(now, warmup) >= 1.0 || !out && from > host.let_in_at;
                 if let Some(host) = self.hosts.get_mut(host).filter(counts) {
@@ -602,8 +602,8 @@
         // One probe to four txns at the most, each a second at least where something is amiss.
         let asked = self.proxies.values().map(|proxy| proxy.joined_rate).sum::<f64>().max(1.0);
         let calm = (4_000.0 * on().count() as f64 / asked).clamp(PROBE_PERIOD, 8.0 * PROBE_PERIOD);
-        let told = on().filter_map(|host| host.told).filter(|told| now < told.1 + TOLD_FOR);
-        let usual_load = median(told.map(|told| told.0).collect());
+        let told = |host: &Host| host.told.filter(|at| now < at.1 + TOLD_FOR).map(|at| at.0);
+        let usual_load = median(on().filter_map(told).collect());
         self.pace_kinds(now);
         for (id, host) in self.hosts.iter_mut().filter(|(_, host)| host.standing == Standing::On) {
             let kind = self.kinds.get(&host.kind).filter(|(pace, at)| *at == now && host.pace > *pace);
