--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -718,6 +718,14 @@
     expect![[r#""#]].assert_eq(&fleet.trace);
 }
 
+/// Four ticks with sums of four hosts; of all tries at the second nothing came back.
+fn voids_at_host1(fleet: &mut Fleet) {
+    for _ in 0..4 {
+        (0..4).for_each(|host| fleet.met(host, 0, 6, if host == 1 { 6 } else { 0 }, 100.0));
+        fleet.run(1);
+    }
+}
+
 /// The same day: sums cover the time of many pairs, so they told of tries from before a host was let in and
 /// gated a quarter of those that had just come back, for eight seconds.
 #[test]
@@ -732,17 +740,11 @@
     fleet.note("sums of what was before");
     let span = fleet.span;
     fleet.span = 4_000.0;
-    for _ in 0..4 {
-        (0..4).for_each(|host| fleet.met(host, 0, 6, if host == 1 { 6 } else { 0 }, 100.0));
-        fleet.run(1);
-    }
+    voids_at_host1(&mut fleet);
     fleet.run(30);
     fleet.note("sums of what is");
     fleet.span = span;
-    for _ in 0..4 {
-        (0..4).for_each(|host| fleet.met(host, 0, 6, if host == 1 { 6 } else { 0 }, 100.0));
-        fleet.run(1);
-    }
+    voids_at_host1(&mut fleet);
     expect![[r#"
         8000 sums of what was before
         12800 t0 host1 weight 0.5
