--- a/crates/steward/src/lines.rs
+++ b/crates/steward/src/lines.rs
@@ -150,13 +150,28 @@
         if self.stream.fill_buf().await.map_err(Ended::Broken)?.is_empty() {
             return Err(Ended::Closed);
         }
-        let mut limited = (&mut self.stream).take(most);
-        let read = timeout(within, limited.read_until(b'\n', &mut self.line)).await;
+        let read = timeout(within, self.read_line(most)).await;
         read.map_err(|_| Ended::Unfinished)?.map_err(Ended::Broken)?;
-        match self.line.strip_suffix(b"\n") {
-            Some(line) => Ok(line.strip_suffix(b"\r").unwrap_or(line)),
-            None if self.line.len() as u64 >= most => Err(Ended::TooLong(most)),
-            None => Err(Ended::Closed),
+        let line = match self.line.strip_suffix(b"\n") {
+            Some(line) => line.strip_suffix(b"\r").unwrap_or(line),
+            None if self.line.len() as u64 > most => return Err(Ended::TooLong(most)),
+            None => return Err(Ended::Closed),
+        };
+        match line.len() as u64 > most {
+            true => Err(Ended::TooLong(most)),
+            false => Ok(line),
+        }
+    }
+
+    /// Reads up to the end of a line, or to the first byte that is one too many. Guards against refusing a message of
+    /// just the size that is allowed, whose CR and LF come on top of it.
+    async fn read_line(&mut self, most: u64) -> io::Result<()> {
+        let mut limited = (&mut self.stream).take(most + 1);
+        limited.read_until(b'\n', &mut self.line).await?;
+        if self.line.len() as u64 == most + 1 && self.line.ends_with(b"\r") {
+            limited.set_limit(1);
+            limited.read_until(b'\n', &mut self.line).await?;
         }
+        Ok(())
     }
 }
