A collector that connects in a flood is taken; collectors that are closed are counted

Causes: listen.rs took connections one after the other without a turn for their tasks, so a collector whose first line had come already still stood as a stranger and was closed for those behind it. No counter told of a joined collector that was closed for what it sent. Failed accepts were logged twenty times a second.

Changes: a turn after each accept; counter collectors_closed; failed accepts come once a second in the log.

Tests: crossing_connections strangers::a_collector_that_comes_with_more_strangers_than_descriptors_is_taken and bad_input::a_collector_that_is_closed_for_what_it_sends_is_counted fail on the program before. Failed accepts have no test: a limit on descriptors can't be set from the test.

--- a/crates/steward/src/counters.rs
+++ b/crates/steward/src/counters.rs
@@ -29,7 +29,8 @@
 }
 
 counters! {
-    connections connections_joined connections_refused connections_shed accepts_failed lines_taken lines_skipped pings
+    connections connections_joined connections_refused connections_shed accepts_failed collectors_closed
+    lines_taken lines_skipped pings
     batches events orders replies replies_lost timers panics
     calls messages_again calls_busy calls_refused calls_unsure calls_not_sent orders_skipped
     watches news_lines news_skipped signs joined left applied
--- a/crates/steward/src/listen.rs
+++ b/crates/steward/src/listen.rs
@@ -96,12 +96,15 @@
 /// Takes connections for good, `most` at a time.
 pub async fn run(listener: TcpListener, most: usize, inside: Inside) {
     let mut guests = Guests::default();
+    let seldom = Seldom::default();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
                 inside.ties.counters.accepts_failed.one();
-                warn!(inside.ties.log, "could not take a connection"; "why" => %error);
+                if let Some(hidden) = seldom.pass() {
+                    warn!(inside.ties.log, "could not take a connection"; "why" => %error, "hidden" => hidden);
+                }
                 tokio::time::sleep(Duration::from_millis(50)).await;
                 continue;
             }
@@ -114,6 +117,9 @@
         let seat = Seat::new(Stage::Silent);
         let task = tokio::task::spawn_local(connection(stream, seat.clone(), inside.clone()));
         guests.take(seat, task.abort_handle());
+        // Its task has a turn before the next is taken. Guards against a collector whose first line has come with it and
+        // that is closed as a stranger for those behind it.
+        tokio::task::yield_now().await;
     }
 }
 
@@ -140,6 +146,8 @@
         // Collectors are never written to; anyone else is told.
         if seat.stage.get() < Stage::Joined(0) {
             let _ = timeout(WRITE, writing.write_all(b"NACK\r\n")).await;
+        } else {
+            inside.ties.counters.collectors_closed.one();
         }
     }
 }
