A late probe of a host's former entry counts for nothing; failed exchanges say how far they came

Causes: a probe carried the host's number and its address alone, so an answer that came after the host was listed anew, at another address or with another start, counted for the new process: three late failures of the old one shut the new one out, a late pass helped let it in (desk.rs, Heard::Probed). Marks began at 0 in each process, so an answer to a mark of the former process of the same name could be taken for one of this one's. The leaving of a proxy that is not known was counted nowhere. http.rs told an answer that broke off, one that never came and a connection that broke without a byte as the same fault.

Changes: a probe carries the entry that it belongs to and counts as unknown where the list has another by then; Desk::marks_drawn_from; news_skipped; Fault::CutOff and Fault::Silent, by the bytes that were read. Two further log lines come once a second at the most.

--- a/crates/steward/src/desk.rs
+++ b/crates/steward/src/desk.rs
@@ -21,7 +21,7 @@
 use crate::counters::{Counters, Seldom};
 use crate::fleet::Ward;
 use crate::guard::Keeper;
-use crate::heard::{Ask, Encoded, Health, Heard, Listing, News, Out, Probe, Reply, Row, Ruled};
+use crate::heard::{Ask, Encoded, Entry, Health, Heard, Listing, News, Out, Probe, Reply, Row, Ruled};
 use crate::lines::Said;
 use crate::orders;
 use crate::state::{self, Rolls};
@@ -48,6 +48,13 @@
     lost: bool,
 }
 
+impl Known {
+    /// Where it is probed; none: its address can't be read.
+    fn entry(&self) -> Option<Entry> {
+        Some(Entry { dial: self.dial?, born_ms: self.born_ms })
+    }
+}
+
 /// Decisions that start anew count their marks from the first again. Theirs on the wire begin so far after those of
 /// the ones before them: else an answer to a mark could be one to an earlier mark, maybe of a call that was never
 /// written, and what a proxy has confirmed would never be known. What starts anew once a second comes round after
@@ -99,6 +106,8 @@
     own_marks: u16,
     counters: Rc<Counters>,
     skipped: Seldom,
+    refused: Seldom,
+    full: Seldom,
     log: Logger,
 }
 
@@ -141,6 +150,8 @@
             own_marks: 0,
             counters,
             skipped: Seldom::default(),
+            refused: Seldom::default(),
+            full: Seldom::default(),
             log,
         };
         desk.listed(known, ListNews::Restored);
@@ -154,6 +165,13 @@
         self
     }
 
+    /// With marks that begin elsewhere in each process. Guards against an answer to a mark of the former process of this
+    /// name, which arrives late and would be taken for one to the same number of this one.
+    pub fn marks_drawn_from(mut self, seed: u64) -> Desk {
+        self.first_mark = (seed ^ (seed >> 16) ^ (seed >> 32) ^ (seed >> 48)) as u16;
+        self
+    }
+
     /// With a policy of the fleet, under which each reply is judged.
     pub fn governed(mut self, ward: Ward) -> Desk {
         self.ward = Some(ward);
@@ -314,6 +332,10 @@
                 self.guard_hears(&Event::Joined { proxy, zone, txns_per_s, fresh });
                 self.events.push(Event::Joined { proxy, zone, txns_per_s, fresh });
             }
+            Heard::News(News::Left { proxy }) if u32::from(proxy) >= self.labels.proxies => {
+                self.counters.news_skipped.one();
+                self.skip("the leaving of a proxy that is not known".into());
+            }
             Heard::News(News::Left { proxy }) => {
                 if let Some(unseen) = &mut self.unseen {
                     unseen.remove(&ProxyId(proxy));
@@ -359,7 +381,12 @@
                 let event = |Believed { host, load, age, sure, .. }| Event::Load { host, load, age, sure };
                 self.events.extend(loads.into_iter().map(event));
             }
-            Heard::Probed { host, outcome, took, report } => {
+            Heard::Probed { host, entry, .. } if self.replaced(host, entry) => {
+                let (outcome, report) = (Outcome::Unknown, LoadReport::default());
+                self.proved(host, outcome);
+                self.events.push(Event::Probed { host, outcome, took: 0.0, report });
+            }
+            Heard::Probed { host, outcome, took, report, .. } => {
                 self.proved(host, outcome);
                 // One that the roster has asked for ahead of the decisions is no host of theirs yet.
                 if self.rolls.is_some() && !self.hosts.contains_key(&host) {
@@ -421,7 +448,9 @@
             }
             Heard::NotTaken { binds: None, orders } => {
                 self.gave_up(&orders);
-                error!(self.log, "the relay refuses an order; the decisions start anew");
+                if let Some(hidden) = self.refused.pass() {
+                    error!(self.log, "the relay refuses an order; the decisions start anew"; "hidden" => hidden);
+                }
                 self.start_anew();
             }
         }
@@ -536,8 +565,8 @@
         let Some(rolls) = &mut self.rolls else { return };
         for (name, dial) in rolls.roster.to_probe(now) {
             let host = self.names.id(&name);
-            let to = dial.parse().ok();
-            if to.is_none_or(|to| self.out.probes.try_send(Probe { host, to }).is_err()) {
+            let entry = dial.parse().ok().map(|dial| Entry { dial, born_ms: 0.0 });
+            if entry.is_none_or(|entry| self.out.probes.try_send(Probe { host, entry }).is_err()) {
                 self.counters.probes_unsent.one();
                 rolls.roster.probed(now, &name, None);
             }
@@ -549,6 +578,13 @@
         self.roll_out(ListNews::Changes, false);
     }
 
+    /// Whether the list has another process under that name by now. Guards against gating a host that has just come, or
+    /// letting it in, for what a probe of the one before it found.
+    fn replaced(&self, host: HostId, entry: Entry) -> bool {
+        let known = self.hosts.get(&host);
+        known.is_some_and(|known| known.entry().is_some_and(|now| now != entry))
+    }
+
     fn proved(&mut self, host: HostId, outcome: Outcome) {
         let now = (self.unix)();
         let pass = match outcome {
@@ -821,7 +857,9 @@
         // for nobody: should it be full all the same, what is lost is made good by starting anew.
         if let Err(lost) = self.out.relay.try_send(Reply { orders, mark, ruled }) {
             self.counters.replies_lost.one();
-            error!(self.log, "the relay's queue is full; the decisions start anew");
+            if let Some(hidden) = self.full.pass() {
+                error!(self.log, "the relay's queue is full; the decisions start anew"; "hidden" => hidden);
+            }
             let lost = lost.into_inner().orders.into_iter().filter_map(|order| order.order);
             let lost: Vec<Order> = lost.collect();
             self.gave_up(&lost);
@@ -839,8 +877,8 @@
     }
 
     fn probe(&mut self, host: HostId) {
-        let to = self.hosts.get(&host).and_then(|known| known.dial);
-        let sent = to.is_some_and(|to| self.out.probes.try_send(Probe { host, to }).is_ok());
+        let entry = self.hosts.get(&host).and_then(Known::entry);
+        let sent = entry.is_some_and(|entry| self.out.probes.try_send(Probe { host, entry }).is_ok());
         if !sent {
             self.counters.probes_unsent.one();
             let (outcome, report) = (Outcome::Unknown, LoadReport::default());
--- a/crates/steward/src/heard.rs
+++ b/crates/steward/src/heard.rs
@@ -38,6 +38,7 @@
     Loads(Vec<Believed>),
     Probed {
         host: HostId,
+        entry: Entry,
         outcome: Outcome,
         took: f64,
         report: LoadReport,
@@ -139,10 +140,19 @@
     Whole,
 }
 
+/// Which process a host's name stood for: at another address, or with another start, it is another one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Entry {
+    pub dial: SocketAddr,
+    /// Its start in Unix time.
+    pub born_ms: f64,
+}
+
 /// A probe to be sent.
+#[derive(Clone, Copy)]
 pub struct Probe {
     pub host: HostId,
-    pub to: SocketAddr,
+    pub entry: Entry,
 }
 
 /// What the module ordered at one time, and the number of the mark in it.
--- a/crates/steward/src/http.rs
+++ b/crates/steward/src/http.rs
@@ -27,6 +27,10 @@
 /// probes are under way at once, and the peers may say whatever they like; a call of orders fits in.
 const MOST_AHEAD: usize = 64 << 10;
 
+/// Why an exchange failed whose peer fell silent, before the head of its answer or behind it.
+const NO_ANSWER: &str = "no answer in time";
+const NO_END: &str = "the answer did not end in time";
+
 /// Waits for something within a time. Guards against a steward that stood still itself: then the time is
 /// over before what came meanwhile has been looked at, so a last look follows.
 pub async fn limited<T>(within: Duration, what: impl Future<Output = T>) -> Option<T> {
@@ -48,6 +52,12 @@
     /// All of it may have arrived; nothing readable came back.
     #[error("unsure: {0}")]
     Unsure(String),
+    /// All of it may have arrived; an answer began and broke off.
+    #[error("unsure: the answer broke off: {0}")]
+    CutOff(String),
+    /// All of it may have arrived; the answer did not come, or not to its end, in time.
+    #[error("unsure: {0}")]
+    Silent(&'static str),
 }
 
 /// Where connections come from: sockets in service, memory in tests.
@@ -75,6 +85,8 @@
     fn look(&self) -> io::Result<Self::Look>;
     /// So many bytes, one or more, went out.
     fn wrote(&self, look: Self::Look, bytes: usize);
+    /// So many bytes came in; none at the end.
+    fn read(&self, _bytes: usize) {}
 }
 
 /// A connection whose every write is watched.
@@ -83,13 +95,16 @@
     pub watch: W,
 }
 
-impl<S: AsyncRead + Unpin, W: Unpin> AsyncRead for Watched<S, W> {
+impl<S: AsyncRead + Unpin, W: Watch + Unpin> AsyncRead for Watched<S, W> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         into: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, into)
+        let before = into.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(cx, into);
+        self.watch.read(into.filled().len() - before);
+        poll
     }
 }
 
@@ -114,21 +129,30 @@
     }
 }
 
-/// Tells how many bytes the other side can have got at most.
-impl Watch for Rc<Cell<usize>> {
+/// How many bytes the other side can have got at most, and how many came back.
+#[derive(Default)]
+struct Traffic {
+    written: Cell<usize>,
+    read: Cell<usize>,
+}
+
+impl Watch for Rc<Traffic> {
     type Look = ();
     fn look(&self) -> io::Result<()> {
         Ok(())
     }
     fn wrote(&self, (): (), bytes: usize) {
-        self.set(self.get() + bytes);
+        self.written.set(self.written.get() + bytes);
+    }
+    fn read(&self, bytes: usize) {
+        self.read.set(self.read.get() + bytes);
     }
 }
 
 /// A connection; dropping it closes it, whatever is under way on it.
 pub struct Line {
     sender: SendRequest<Full<Bytes>>,
-    written: Rc<Cell<usize>>,
+    traffic: Rc<Traffic>,
     _pump: AbortOnDropHandle<()>,
 }
 
@@ -138,8 +162,8 @@
         let dialled = limited(within, dial.dial(to)).await;
         let dialled = dialled.ok_or_else(|| not_sent(&"the connection did not come up"))?;
         let stream = dialled.map_err(|error| not_sent(&error))?;
-        let written = Rc::new(Cell::new(0));
-        let counted = Watched { stream, watch: written.clone() };
+        let traffic = Rc::new(Traffic::default());
+        let counted = Watched { stream, watch: traffic.clone() };
         let (sender, pump) = http1::Builder::new()
             .max_buf_size(MOST_AHEAD)
             .handshake(TokioIo::new(counted))
@@ -147,7 +171,7 @@
             .map_err(|error| not_sent(&error))?;
         // How the connection ended shows in the exchange that it carried.
         let pump = tokio::task::spawn_local(async move { drop(pump.await) });
-        Ok(Line { sender, written, _pump: AbortOnDropHandle::new(pump) })
+        Ok(Line { sender, traffic, _pump: AbortOnDropHandle::new(pump) })
     }
 
     fn stands(&self) -> bool {
@@ -161,7 +185,7 @@
         within: Duration,
     ) -> Result<Response<Incoming>, Fault> {
         let body = hyper::body::Body::size_hint(request.body()).lower() as usize;
-        let before = self.written.get();
+        let (written_before, read_before) = (self.traffic.written.get(), self.traffic.read.get());
         let sent = async {
             match self.sender.ready().await {
                 Ok(()) => self.sender.try_send_request(request).await.map_err(|mut error| {
@@ -171,17 +195,23 @@
                 Err(error) => Err((true, error.to_string())),
             }
         };
-        let (unsent, why) = match limited(within, sent).await {
+        let failed = match limited(within, sent).await {
             Some(Ok(response)) => return Ok(response),
-            Some(Err(fault)) => fault,
-            None => (false, "no answer in time".to_string()),
+            Some(Err(failed)) => Some(failed),
+            None => None,
         };
-        match self.written.get() - before {
-            0 => Err(Fault::NotSent(why)),
-            _ if unsent => Err(Fault::NotSent(why)),
-            written if written < body => Err(Fault::InPart(why)),
-            _ => Err(Fault::Unsure(why)),
-        }
+        let written = self.traffic.written.get() - written_before;
+        let began = self.traffic.read.get() > read_before;
+        Err(match failed {
+            Some((true, why)) => Fault::NotSent(why),
+            Some((false, why)) if written == 0 => Fault::NotSent(why),
+            Some((false, why)) if written < body => Fault::InPart(why),
+            Some((false, why)) if began => Fault::CutOff(why),
+            Some((false, why)) => Fault::Unsure(why),
+            None if written == 0 => Fault::NotSent(NO_ANSWER.into()),
+            None if written < body => Fault::InPart(NO_ANSWER.into()),
+            None => Fault::Silent(NO_ANSWER),
+        })
     }
 
     /// An exchange of which only so many bytes of the answer's body are read, within the same time.
@@ -197,7 +227,7 @@
         let reading = async {
             while read.len() < most {
                 let Some(frame) = body.frame().await else { break };
-                let data = frame.map_err(|error| Fault::Unsure(error.to_string()))?.into_data();
+                let data = frame.map_err(|error| Fault::CutOff(error.to_string()))?.into_data();
                 let data = data.unwrap_or_default();
                 read.extend_from_slice(&data[..data.len().min(most - read.len())]);
             }
@@ -205,7 +235,7 @@
         };
         match limited(until - Instant::now(), reading).await {
             Some(read_through) => read_through.map(|()| (status, read.freeze())),
-            None => Err(Fault::Unsure("the answer did not end in time".into())),
+            None => Err(Fault::Silent(NO_END)),
         }
     }
 
@@ -221,8 +251,8 @@
         let body = Limited::new(response.into_body(), MOST_BYTES).collect();
         match limited(until - Instant::now(), body).await {
             Some(Ok(body)) => Ok((status, body.to_bytes())),
-            Some(Err(error)) => Err(Fault::Unsure(error.to_string())),
-            None => Err(Fault::Unsure("the answer did not end in time".into())),
+            Some(Err(error)) => Err(Fault::CutOff(error.to_string())),
+            None => Err(Fault::Silent(NO_END)),
         }
     }
 }
--- a/crates/steward/src/probe.rs
+++ b/crates/steward/src/probe.rs
@@ -13,8 +13,8 @@
 use tokio::sync::{mpsc, Semaphore};
 use tokio::time::Instant;
 
-use crate::heard::{Heard, Probe, Ties};
-use crate::http::{get, Dial, Fault, Line};
+use crate::heard::{Entry, Heard, Probe, Ties};
+use crate::http::{get, Dial, Line};
 
 /// The design page: a probe has 0.3 s to be answered.
 const ANSWER: Duration = Duration::from_millis(300);
@@ -26,20 +26,20 @@
 #[derive(Default)]
 struct Waiting {
     turns: VecDeque<HostId>,
-    dials: BTreeMap<HostId, SocketAddr>,
+    entries: BTreeMap<HostId, Entry>,
 }
 
 impl Waiting {
     /// False where the host's last probe still waits: this one gives way to it.
-    fn take(&mut self, Probe { host, to }: Probe) -> bool {
-        let new = self.dials.insert(host, to).is_none();
+    fn take(&mut self, Probe { host, entry }: Probe) -> bool {
+        let new = self.entries.insert(host, entry).is_none();
         self.turns.extend(new.then_some(host));
         new
     }
 
     fn next(&mut self) -> Option<Probe> {
         let host = self.turns.pop_front()?;
-        self.dials.remove(&host).map(|to| Probe { host, to })
+        self.entries.remove(&host).map(|entry| Probe { host, entry })
     }
 }
 
@@ -76,15 +76,15 @@
                 }
                 place = places.clone().acquire_owned(), if !waiting.turns.is_empty() => place,
             };
-            let (Ok(place), Some(Probe { host, to })) = (place, waiting.next()) else { return };
+            let (Ok(place), Some(Probe { host, entry })) = (place, waiting.next()) else { return };
             let (prober, dial) = (self.clone(), dial.clone());
             // Each ends by itself within its time limits, and frees its place.
             tokio::task::spawn_local(async move {
                 let _place = place;
                 let sent = Instant::now();
-                let (outcome, report) = prober.probe(&*dial, to).await;
+                let (outcome, report) = prober.probe(&*dial, entry.dial).await;
                 let took = sent.elapsed().as_secs_f64() * 1e3;
-                drop(prober.ties.desk.send(Heard::Probed { host, outcome, took, report }).await);
+                drop(prober.ties.desk.send(Heard::Probed { host, entry, outcome, took, report }).await);
             });
         }
     }
@@ -109,7 +109,7 @@
         let (status, body) = match line.glance(get(self.path, to), ANSWER, MOST_BYTES).await {
             Ok(answer) => answer,
             Err(_) if sent.elapsed() >= ANSWER => return (Outcome::TimedOut, none),
-            Err(Fault::NotSent(_) | Fault::InPart(_) | Fault::Unsure(_)) => return (Outcome::Reset, none),
+            Err(_) => return (Outcome::Reset, none),
         };
         debug!(self.ties.log, "probed"; "status" => %status);
         match status {
--- a/crates/steward/tests/steward/desk.rs
+++ b/crates/steward/tests/steward/desk.rs
@@ -8,7 +8,7 @@
 use amberarch_residency::{Facts, Judge};
 use amberarch_steward::desk::{Desk, Labels, Make};
 use amberarch_steward::fleet::{Caps, Tell, Ward};
-use amberarch_steward::heard::{Health, Heard, Listing, News, Out, Row, Ties};
+use amberarch_steward::heard::{Entry, Health, Heard, Listing, News, Out, Row, Ties};
 use amberarch_steward::lines::Said;
 use expect_test::expect;
 use tokio::sync::mpsc;
@@ -118,7 +118,7 @@
                         seen.note(&format!("reply {:?}\n{}", reply.mark, orders.join("\n")));
                     }
                     Some(ask) = asks.recv() => seen.note(&format!("ask {ask:?}")),
-                    Some(probe) = probed.recv() => seen.note(&format!("probe {:?} at {}", probe.host, probe.to)),
+                    Some(probe) = probed.recv() => seen.note(&format!("probe {:?} at {}", probe.host, probe.entry.dial)),
                 }
             }
         });
@@ -329,6 +329,7 @@
         Heard::Listed(Listing { seq, whole: true, hosts })
     };
     let (host, outcome, report) = (HostId(0), Outcome::Answered, LoadReport::default());
+    let entry = Entry { dial: "127.0.0.2:3000".parse().unwrap(), born_ms: 0.0 };
     let sum = || {
         let (zone, host) = ("a".into(), "s-0".into());
         Heard::Sum(Said::Load { zone, host, tries: 4, voided: 1, mean: 40.0, over: 1e3, report })
@@ -339,7 +340,7 @@
         (200, sum()),
         (300, listing(42)),
         (400, sum()),
-        (500, Heard::Probed { host, outcome, took: 1.0, report }),
+        (500, Heard::Probed { host, entry, outcome, took: 1.0, report }),
     ]);
     expect![[r#"
         0 seed 5: List { news: Restored, entries: [Listed { host: HostId(0), weight: 1.0, zone: ZoneId(0), pod: PodId(3), kind: KindId(1), born: None, standing: On }] }
@@ -368,7 +369,8 @@
     };
     let probed = |outcome| {
         let (host, report) = (HostId(0), LoadReport::default());
-        Heard::Probed { host, outcome, took: 2.0, report }
+        let entry = Entry { dial: "127.0.0.2:3000".parse().unwrap(), born_ms: 0.0 };
+        Heard::Probed { host, entry, outcome, took: 2.0, report }
     };
     let met = Said::Load {
         zone: "b".into(),
--- a/crates/steward/tests/steward/listen.rs
+++ b/crates/steward/tests/steward/listen.rs
@@ -3,7 +3,7 @@
 
 use amberarch_core::{HostId, Outcome};
 use amberarch_steward::counters::Count;
-use amberarch_steward::heard::Probe;
+use amberarch_steward::heard::{Entry, Probe};
 use amberarch_steward::listen::{connection, Guests, Inside, Seat, Stage};
 use amberarch_steward::probe::Prober;
 use expect_test::expect;
@@ -247,7 +247,9 @@
         // Four at a time take a quarter of a second each, so a round takes longer than the period.
         for _ in 0..2 {
             for host in (0..HOSTS).map(HostId) {
-                order.try_send(Probe { host, to: HOME }).expect("room for a probe of each host");
+                order
+                    .try_send(Probe { host, entry: Entry { dial: HOME, born_ms: 0.0 } })
+                    .expect("room for a probe of each host");
             }
             sleep(Duration::from_secs(1)).await;
         }
@@ -278,7 +280,9 @@
         let mut unsent = 0;
         for _ in 0..40 {
             for host in (0..HOSTS).map(HostId) {
-                unsent += u32::from(order.try_send(Probe { host, to: HOME }).is_err());
+                unsent += u32::from(
+                    order.try_send(Probe { host, entry: Entry { dial: HOME, born_ms: 0.0 } }).is_err(),
+                );
             }
             tokio::task::yield_now().await;
         }
