Broken and silent lists are asked for again at once; starts, reloads and gaps in the news mended

- list.rs: an answer that broke off, or did not come or end in time, counts as told, yet was asked for again only 0.45 to 0.75 s later.
It is asked for again at once, once, on a new connection (crossing_lists broken_answers, endings, silences).
- list.rs: one spoilt whole list without hosts took all hosts out of service.
It is asked for once more before it is believed (lists, three tests).
- list.rs: the wait after a failure, drawn by seed, is looked at by the decisions in steps of 200 ms, so daemons that lost discovery together came back in crowds (8 of 10 within 20 ms).
A call after a failure waits up to a step more, by seed (together).
- news.rs: a proxy that left and came back in a gap of less than 1.3 s between two watches was taken for one that stayed; it is bound to nothing by then, so no drain would reach it.
After 300 ms without a watch all are bound again (crossing_calls handovers).
- news.rs: a line in many pieces was searched from its start for each of them (a 1 MiB line in single bytes held everything up), and a dial was not given up when the relay moved again.
- relay.rs, news.rs, spread.rs: pauses between attempts were the same in all daemons; they are spread by seed, 0.8 to 1 times (retries).
- main.rs: the address held by the former process ended the start with exit code 2; it is tried again for up to 20 s.
SIGHUP or SIGTERM before the configuration was read killed the process; signals are heard from first (restart, six tests).
A start that is refused panicked where standard error was closed (bad_configuration).

--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod policy;
 pub mod probe;
 pub mod relay;
+pub mod spread;
 pub mod state;
--- a/crates/steward/src/list.rs
+++ b/crates/steward/src/list.rs
@@ -5,10 +5,12 @@
 use hyper::StatusCode;
 use slog::info;
 use tokio::sync::mpsc;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
+use crate::counters::Seldom;
 use crate::heard::{Ask, Heard, Listing, Ties};
-use crate::http::{get, Dial, Fault, Kept};
+use crate::http::{get, limited, Dial, Fault, Kept};
+use crate::spread::Spread;
 
 /// The protocol page: what a call brings counts as told 2 s after its wait is over, or after 6 s
 /// where it does not wait.
@@ -17,6 +19,9 @@
 /// The protocol page: a watch goes on if the next call comes within 200 ms. Half of that between the starts of
 /// two calls guards discovery and the core against a list that answers at once again and again.
 const BETWEEN: Duration = Duration::from_millis(100);
+/// When to ask again after a failure is drawn by the decisions and looked at in steps of this length. Guards against
+/// daemons that lost discovery together and come back to it in the same step, whatever each of them drew.
+const STEP: Duration = Duration::from_millis(200);
 
 pub struct Discovery<D> {
     pub line: Kept<D>,
@@ -24,6 +29,8 @@
     pub wait: Duration,
     /// Whether the desk is told of answers without news: they confirm what it keeps.
     pub confirms: bool,
+    /// Spreads the calls that follow a failure.
+    pub spread: Spread,
     pub ties: Ties,
 }
 
@@ -31,7 +38,12 @@
     /// Asks as it is told to. A watch goes on call after call, until one fails: when to ask again is
     /// said from outside. `seq` is the version of the list that the steward started with.
     pub async fn run(mut self, mut asks: mpsc::Receiver<Ask>, mut seq: u64) {
-        let (mut watching, mut first, mut spoilt) = (false, false, false);
+        let (mut watching, mut first) = (false, false);
+        // The last answer did not come whole, or was a whole list without hosts: it is asked for once more.
+        let (mut spoilt, mut empty) = (false, false);
+        // The last call failed.
+        let mut failed = false;
+        let went_back = Seldom::default();
         let mut asked = None;
         let mut peer = self.line.peer();
         loop {
@@ -50,33 +62,54 @@
                     continue;
                 }
             }
+            if std::mem::take(&mut failed) {
+                sleep(self.spread.up_to(STEP)).await;
+            }
             let (whole, begun) = (ask == Some(Ask::Whole), Instant::now());
             peer.mark_unchanged();
-            let answer = tokio::select! {
-                // What has come counts as told, so it is heard before anything else is looked at.
-                biased;
-                answer = self.fetch((!whole).then_some(seq)) => answer,
-                Some(ask) = asks.recv() => {
-                    // What is under way is given up, and its connection with it.
-                    asked = Some(ask);
-                    continue;
-                }
-                Ok(()) = peer.changed() => {
-                    // Discovery is elsewhere now; the same call goes there. What this one would have
-                    // brought is newer than `seq`, so the next brings it.
-                    asked = ask;
-                    continue;
+            let answer = {
+                let mut fetch = std::pin::pin!(self.fetch((!whole).then_some(seq)));
+                tokio::select! {
+                    // What has come counts as told, so it is heard before anything else is looked at.
+                    biased;
+                    answer = &mut fetch => answer,
+                    Some(ask) = asks.recv() => {
+                        // What is under way is given up, and its connection with it.
+                        asked = Some(ask);
+                        continue;
+                    }
+                    // Discovery is elsewhere now; the same call goes there. What this one would have brought is newer
+                    // than `seq`, so the next brings it. Guards against an answer that has arrived and is not read
+                    // yet: it counts as told, and the new address may be dead.
+                    Ok(()) = peer.changed() => match limited(Duration::ZERO, &mut fetch).await {
+                        Some(Ok(listing)) => Ok(listing),
+                        Some(Err(_)) | None => {
+                            asked = ask;
+                            continue;
+                        }
+                    },
                 }
             };
             match answer {
                 // A version that goes back is another list: only a whole one tells what it holds.
                 Ok(listing) if !listing.whole && listing.seq < seq => {
-                    info!(self.ties.log, "the list's version went back"; "from" => seq, "to" => listing.seq);
+                    if let Some(hidden) = went_back.pass() {
+                        info!(self.ties.log, "the list's version went back";
+                            "from" => seq, "to" => listing.seq, "hidden" => hidden);
+                    }
+                    spoilt = false;
+                    asked = Some(Ask::Whole);
+                }
+                // Guards against one spoilt answer, or a discovery that has learnt nothing yet, that takes all hosts
+                // out of service: what a second answer says too holds.
+                Ok(listing) if listing.whole && listing.hosts.is_empty() && !empty => {
+                    self.ties.counters.list_answers.one();
+                    (spoilt, empty) = (false, true);
                     asked = Some(Ask::Whole);
                 }
                 Ok(listing) => {
                     self.ties.counters.list_answers.one();
-                    (seq, spoilt) = (listing.seq, false);
+                    (seq, spoilt, empty) = (listing.seq, false, false);
                     // The first answer is told even if it holds nothing: it shows that the watch stands.
                     if std::mem::take(&mut first) || listing.whole || !listing.hosts.is_empty() {
                         drop(self.ties.desk.send(Heard::Listed(listing)).await);
@@ -88,11 +121,11 @@
                     self.ties.counters.list_failures.one();
                     info!(self.ties.log, "a call for the list failed"; "how" => %missed);
                     self.line.hang_up();
-                    spoilt = matches!(missed, Missed::Unreadable(_)) && !spoilt;
+                    spoilt = missed.may_be_told() && !spoilt;
                     if spoilt {
                         asked = ask;
                     } else {
-                        watching = false;
+                        (watching, failed) = (false, true);
                         drop(self.ties.desk.send(Heard::ListFailed).await);
                     }
                 }
@@ -126,8 +159,19 @@
     Road(#[from] Fault),
     #[error("answered with {0}")]
     Declined(StatusCode),
-    /// Discovery wrote it, so it counts as told. It is asked for again at once, on a new connection, and is a
-    /// failure only where that can't be read either.
     #[error("what can't be read: {0}")]
     Unreadable(String),
 }
+
+impl Missed {
+    /// Discovery wrote an answer, or its time is over, so what it had to tell counts as told. Guards against drains
+    /// that are late by the wait which spares a discovery that is down: it is asked for again at once, on a new
+    /// connection, and is a failure only where that brings nothing either.
+    fn may_be_told(&self) -> bool {
+        match self {
+            Missed::Unreadable(_) | Missed::Road(Fault::CutOff(_) | Fault::Silent(_)) => true,
+            Missed::Road(Fault::NotSent(_) | Fault::InPart(_) | Fault::Unsure(_)) => false,
+            Missed::Declined(_) => false,
+        }
+    }
+}
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -1,5 +1,7 @@
 //! Starts the steward's tasks, hears signals, and ends it.
 
+use std::io::{ErrorKind, Write};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
@@ -17,14 +19,16 @@
 use amberarch_steward::news::Follow;
 use amberarch_steward::probe::Prober;
 use amberarch_steward::relay::{Gated, Relay};
+use amberarch_steward::spread::Spread;
 use amberarch_steward::{fleet, intake, levels, state};
 use clap::Parser;
 use slog::{error, info, o, warn, Drain, Logger};
 use slog_async::OverflowStrategy;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, Instant};
 
 /// Room in the queues between tasks; who finds one full waits.
 const ROOM: usize = 1_024;
@@ -47,21 +51,19 @@
         .overflow_strategy(OverflowStrategy::DropAndReport)
         .build_with_guard();
     let log = Logger::root(drain.fuse(), o!());
-    let (config, read) = match config::read().and_then(|config| Ok((config, run.operator()?))) {
-        Ok(both) => both,
-        Err(why) => {
-            eprintln!("amberarch: {why}");
-            return ExitCode::from(2);
-        }
-    };
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
-        Err(why) => {
-            eprintln!("amberarch: no runtime: {why}");
-            return ExitCode::from(2);
-        }
+        Err(why) => return refuse(&format!("no runtime: {why}")),
+    };
+    let signals = match runtime.block_on(async { Signals::heard() }) {
+        Ok(signals) => signals,
+        Err(why) => return refuse(&format!("no signals: {why}")),
     };
-    let ended = LocalSet::new().block_on(&runtime, serve(config, (run, read), log.clone()));
+    let (config, read) = match config::read().and_then(|config| Ok((config, run.operator()?))) {
+        Ok(both) => both,
+        Err(why) => return refuse(&why),
+    };
+    let ended = LocalSet::new().block_on(&runtime, serve(config, (run, read), signals, log.clone()));
     if let Err(why) = &ended {
         error!(log, "ends"; "why" => why);
     }
@@ -76,13 +78,66 @@
     std::process::exit(if ended.is_ok() { 0 } else { 2 })
 }
 
+/// One line that says why nothing is started. Whether anybody reads it does not change how the program ends.
+fn refuse(why: &str) -> ExitCode {
+    let _ = writeln!(std::io::stderr(), "amberarch: {why}");
+    ExitCode::from(2)
+}
+
+/// The signals that the program acts on. Heard from before the configuration is read: unheard, each would end it.
+struct Signals {
+    term: Signal,
+    int: Signal,
+    hup: Signal,
+    usr1: Signal,
+}
+
+impl Signals {
+    fn heard() -> std::io::Result<Signals> {
+        Ok(Signals {
+            term: signal(SignalKind::terminate())?,
+            int: signal(SignalKind::interrupt())?,
+            hup: signal(SignalKind::hangup())?,
+            usr1: signal(SignalKind::user_defined1())?,
+        })
+    }
+}
+
+/// Listens there. At a restart the former process may hold the address for a while yet, so it is tried again.
+async fn listen_at(address: SocketAddr, log: &Logger) -> Result<TcpListener, String> {
+    /// The service page: nine in ten restarted processes are ready within 10 s; the former one is killed long before.
+    const AT_MOST: Duration = Duration::from_secs(20);
+    const PAUSE: Duration = Duration::from_millis(50);
+    let begun = Instant::now();
+    let mut told = false;
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return Ok(listener),
+            Err(why) if why.kind() == ErrorKind::AddrInUse && begun.elapsed() < AT_MOST => {
+                if !std::mem::replace(&mut told, true) {
+                    warn!(log, "the address is held by another process; it is tried again"; "address" => %address);
+                }
+                sleep(PAUSE).await;
+            }
+            Err(why) => {
+                return Err(format!("{address}: {why}; listen at an address of this machine that is free"))
+            }
+        }
+    }
+}
+
 fn unix_ms() -> f64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     since.map_or(0.0, |since| since.as_secs_f64() * 1e3)
 }
 
 /// Everything that runs, until a signal ends it.
-async fn serve(config: Config, (run, read): (Run, Read), log: Logger) -> Result<(), String> {
+async fn serve(
+    config: Config,
+    (run, read): (Run, Read),
+    signals: Signals,
+    log: Logger,
+) -> Result<(), String> {
     let mut make = config.make();
     let facts = config.level_facts()?;
     let ladder = read.ladder(&facts.products)?;
@@ -95,13 +150,13 @@
     let log = log.new(o!("steward" => name));
     let panics = log.clone();
     std::panic::set_hook(Box::new(move |panic| error!(panics, "panicked"; "what" => %panic)));
-    let io = |why: std::io::Error| why.to_string();
-    let (mut term, mut int) =
-        (signal(SignalKind::terminate()).map_err(io)?, signal(SignalKind::interrupt()).map_err(io)?);
-    let mut usr1 = signal(SignalKind::user_defined1()).map_err(io)?;
-    // Unheard, it would end the program; heard from before anyone can be answered.
-    let mut hup = signal(SignalKind::hangup()).map_err(io)?;
-    let listener = TcpListener::bind(listen).await.map_err(|why| format!("{listen}: {why}"))?;
+    let Signals { mut term, mut int, mut hup, mut usr1 } = signals;
+    let listener = tokio::select! {
+        biased;
+        _ = term.recv() => return Ok(()),
+        _ = int.recv() => return Ok(()),
+        listener = listen_at(listen, &log) => listener?,
+    };
 
     let counters = Rc::new(Counters::default());
     let mut fleet = None;
@@ -146,7 +201,8 @@
         None => None,
     };
     let (keeps, state) = (rolls.is_some(), rolls.as_ref().map(|rolls| rolls.writer.clone()));
-    let mut the_desk = Desk::new((make, seed), labels, known, unix_ms, out, counters.clone(), log.clone());
+    let mut the_desk = Desk::new((make, seed), labels, known, unix_ms, out, counters.clone(), log.clone())
+        .marks_drawn_from(seed);
     if let Some(rolls) = rolls {
         the_desk = the_desk.keeping(rolls);
     }
@@ -180,16 +236,23 @@
     let line = |peer| Kept::new(Tcp, peer, connect_within);
     let gated = Gated { dial: Tcp, gate: gate.clone() };
     let gated = Kept::new(gated, at_the_relay.clone(), connect_within);
-    let calls = Relay { line: gated, gate, ties: ties.clone() };
+    let calls = Relay { line: gated, gate, spread: Spread::new(seed), ties: ties.clone() };
     let news = Follow {
         dial: Tcp,
         peer: at_the_relay,
         connect_within,
         ready: to_ready,
         skipped: Seldom::default(),
+        spread: Spread::new(seed.wrapping_add(1)),
+        ties: ties.clone(),
+    };
+    let list = Discovery {
+        line: line(at_discovery),
+        wait,
+        confirms: keeps,
+        spread: Spread::new(seed.wrapping_add(2)),
         ties: ties.clone(),
     };
-    let list = Discovery { line: line(at_discovery), wait, confirms: keeps, ties: ties.clone() };
     // A quarter of the descriptors for probes, half for those who connect.
     let prober = Prober { path, connect_within, most: sockets / 4, ties: ties.clone() };
     let inside = Inside { ready: can_serve, zones, skipped: Rc::default(), closed: Rc::default(), ties };
--- a/crates/steward/src/news.rs
+++ b/crates/steward/src/news.rs
@@ -14,6 +14,7 @@
 use crate::counters::Seldom;
 use crate::heard::{Heard, Ties};
 use crate::http::{get, limited, Dial, Fault, Line, Whereabouts};
+use crate::spread::Spread;
 
 /// The protocol page: every second a sign of life comes; times are 300 ms longer on sockets.
 const SIGN_OF_LIFE: Duration = Duration::from_millis(1_300);
@@ -22,6 +23,9 @@
 /// The protocol page: on sockets times are 300 ms longer, and bytes come in pieces. As long a silence ends
 /// what stands.
 const PIECES: Duration = Duration::from_millis(300);
+/// In so long a time without a watch that stands a proxy may have left and joined again, which nothing that stands
+/// tells: it has to dial, and times are 300 ms longer on sockets. A watch that is dialled anew at once takes a sixth.
+const MISSED: Duration = Duration::from_millis(300);
 /// The protocol page: a message holds at most 1 MiB.
 const MOST_BYTES: usize = 1 << 20;
 
@@ -30,6 +34,9 @@
     at: SocketAddr,
     body: Incoming,
     unread: BytesMut,
+    /// So many of the unread bytes hold no end of a line: guards against looking at all of a long line for each of
+    /// the pieces that it comes in.
+    searched: usize,
     _line: Line,
 }
 
@@ -37,9 +44,12 @@
     /// The next line. What has come stays if this is dropped half-way.
     async fn line(&mut self) -> Result<BytesMut, String> {
         loop {
-            if let Some(end) = self.unread.iter().position(|byte| *byte == b'\n') {
+            if let Some(end) = self.unread[self.searched..].iter().position(|byte| *byte == b'\n') {
+                let end = self.searched + end;
+                self.searched = 0;
                 return Ok(self.unread.split_to(end + 1));
             }
+            self.searched = self.unread.len();
             if self.unread.len() > MOST_BYTES {
                 return Err("a line over 1 MiB".into());
             }
@@ -60,6 +70,8 @@
     /// Says that the steward can serve: orders reach proxies, and who joins is heard.
     pub ready: watch::Sender<bool>,
     pub skipped: Seldom,
+    /// Spreads the pauses between dials.
+    pub spread: Spread,
 }
 
 impl<D: Dial> Follow<D> {
@@ -70,7 +82,7 @@
         loop {
             let begun = Instant::now();
             let heard = self.stands(&mut watch).await;
-            let (next, heard) = self.follow(&mut watch, heard, &seldom).await;
+            let Followed { next, heard, unheard_since } = self.follow(&mut watch, heard, &seldom).await;
             watch = match next {
                 Next::Beside(other) => other,
                 Next::Broken(why) => {
@@ -83,8 +95,10 @@
                     self.dial_until_up(&seldom).await
                 }
             };
-            // In a gap longer than the news is ever silent a proxy may have left and come back.
-            self.tell(Heard::Standing { anew: heard.elapsed() > SIGN_OF_LIFE }).await;
+            // Guards against a proxy that left and came back in a gap between two watches and is taken for one that
+            // stayed: it is bound to nothing of ours any more, and no drain would reach it.
+            let anew = unheard_since.elapsed() >= MISSED || heard.elapsed() > SIGN_OF_LIFE;
+            self.tell(Heard::Standing { anew }).await;
         }
     }
 
@@ -109,9 +123,8 @@
         }
     }
 
-    /// Passes news on until it breaks, or until it fell silent and another watch stands beside it;
-    /// tells when it was heard last.
-    async fn follow(&self, watch: &mut Watch, mut heard: Instant, seldom: &Seldom) -> (Next, Instant) {
+    /// Passes news on until it breaks, or until it fell silent and another watch stands beside it.
+    async fn follow(&self, watch: &mut Watch, mut heard: Instant, seldom: &Seldom) -> Followed {
         loop {
             let (mut peer, at) = (self.peer.clone(), watch.at);
             let moved = async {
@@ -124,7 +137,7 @@
                 biased;
                 () = moved => {
                     info!(self.ties.log, "the relay is elsewhere, its news is dialled beside the old");
-                    return (self.beside(watch, &mut heard, seldom).await, heard);
+                    return self.beside(watch, heard, seldom).await;
                 }
                 line = timeout_at(heard + SIGN_OF_LIFE, watch.line()) => line,
             };
@@ -135,13 +148,17 @@
                     tokio::select! {
                         biased;
                         line = watch.line() => line,
-                        other = self.dial_until_up(seldom) => return (Next::Beside(other), heard),
+                        other = self.dial_until_up(seldom) => {
+                            return Followed { next: Next::Beside(other), heard, unheard_since: heard };
+                        }
                     }
                 }
             };
             match line {
                 Ok(line) => self.pass_on(&line).await,
-                Err(why) => return (Next::Broken(why), heard),
+                Err(why) => {
+                    return Followed { next: Next::Broken(why), heard, unheard_since: Instant::now() };
+                }
             };
             heard = Instant::now();
         }
@@ -149,7 +166,7 @@
 
     /// Another watch, and until it stands what the old one says; both stand for a moment, so nothing is
     /// missed between them.
-    async fn beside(&self, old: &mut Watch, heard: &mut Instant, seldom: &Seldom) -> Next {
+    async fn beside(&self, old: &mut Watch, mut heard: Instant, seldom: &Seldom) -> Followed {
         let mut other = std::pin::pin!(self.dial_until_up(seldom));
         loop {
             tokio::select! {
@@ -157,11 +174,16 @@
                 line = old.line() => match line {
                     Ok(line) => {
                         self.pass_on(&line).await;
-                        *heard = Instant::now();
+                        heard = Instant::now();
+                    }
+                    Err(_) => {
+                        let unheard_since = Instant::now();
+                        return Followed { next: Next::Beside(other.await), heard, unheard_since };
                     }
-                    Err(_) => return Next::Beside(other.await),
                 },
-                other = &mut other => return Next::Beside(other),
+                other = &mut other => {
+                    return Followed { next: Next::Beside(other), heard, unheard_since: Instant::now() };
+                }
             }
         }
     }
@@ -198,14 +220,25 @@
                     if let Some(hidden) = seldom.pass() {
                         info!(self.ties.log, "no news yet"; "why" => %fault, "hidden" => hidden);
                     }
-                    sleep(ANSWER).await;
+                    sleep(self.spread.of(ANSWER)).await;
                 }
             }
         }
     }
 
+    /// Another watch, given up where the relay moves meanwhile. Guards against news that is late by as long as a relay
+    /// is silent that a configuration named for a moment.
     async fn open(&self) -> Result<Watch, Fault> {
-        let at = *self.peer.borrow();
+        let mut peer = self.peer.clone();
+        let at = *peer.borrow_and_update();
+        tokio::select! {
+            biased;
+            opened = self.open_at(at) => opened,
+            Ok(()) = peer.changed() => Err(Fault::NotSent("the relay is elsewhere by now".into())),
+        }
+    }
+
+    async fn open_at(&self, at: SocketAddr) -> Result<Watch, Fault> {
         let mut line = Line::open(&self.dial, at, self.connect_within).await?;
         let answer = line.ask(get("/watch", at), SIGN_OF_LIFE).await?;
         if answer.status() != StatusCode::OK {
@@ -213,10 +246,19 @@
         }
         self.ties.counters.watches.one();
         self.ready.send_replace(true);
-        Ok(Watch { at, body: answer.into_body(), unread: BytesMut::new(), _line: line })
+        Ok(Watch { at, body: answer.into_body(), unread: BytesMut::new(), searched: 0, _line: line })
     }
 }
 
+/// How the following of a watch ended.
+struct Followed {
+    next: Next,
+    /// When it said something last.
+    heard: Instant,
+    /// From when on nobody listened to it.
+    unheard_since: Instant,
+}
+
 enum Next {
     Beside(Watch),
     Broken(String),
--- a/crates/steward/src/relay.rs
+++ b/crates/steward/src/relay.rs
@@ -19,6 +19,7 @@
 use crate::counters::Seldom;
 use crate::heard::{Encoded, Heard, Reply, Ruled, Ties};
 use crate::http::{post, Dial, Fault, Kept, Watch, Watched};
+use crate::spread::Spread;
 
 /// The protocol page: an answer comes within 50 ms or never. Between attempts as long is waited.
 const ANSWER: Duration = Duration::from_millis(50);
@@ -103,6 +104,8 @@
 pub struct Relay<D> {
     pub line: Kept<D>,
     pub gate: Rc<Gate>,
+    /// Spreads the pauses between attempts.
+    pub spread: Spread,
     pub ties: Ties,
 }
 
@@ -184,16 +187,16 @@
                         self.ties.counters.calls_busy.one();
                         sleep(ANSWER).await;
                     }
-                    CallFault::Road(Fault::Unsure(_)) => {
+                    CallFault::Road(Fault::NotSent(_) | Fault::InPart(_)) => {
+                        self.ties.counters.calls_not_sent.one();
+                        sleep(self.spread.of(ANSWER)).await;
+                    }
+                    CallFault::Road(Fault::Unsure(_) | Fault::CutOff(_) | Fault::Silent(_)) => {
                         self.ties.counters.calls_unsure.one();
-                        sleep(pause).await;
+                        sleep(self.spread.of(pause)).await;
                         pause = AGAIN_MOST.min(2 * pause);
                         self.again(marks, true).await;
                     }
-                    CallFault::Road(Fault::NotSent(_) | Fault::InPart(_)) => {
-                        self.ties.counters.calls_not_sent.one();
-                        sleep(ANSWER).await;
-                    }
                 }
             }
             queue.marks.clear();
--- /dev/null
+++ b/crates/steward/src/spread.rs
@@ -0,0 +1,41 @@
+//! Pauses between attempts, spread by a seed: daemons that lost the same peer in the same moment do not come back to it
+//! in step.
+
+use std::cell::Cell;
+use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
+use std::time::Duration;
+
+/// The shortest pause, as a part of the one that is asked for. A fifth of 50 ms is enough for thirty daemons that redial
+/// to be a few tenths of a millisecond apart, and no limit that a pause was chosen by is passed.
+const LEAST: f64 = 0.8;
+/// How many different pauses there are.
+const STEPS: u64 = 1_000;
+
+/// A row of pauses of its own for each seed.
+pub struct Spread {
+    seed: u64,
+    drawn: Cell<u64>,
+}
+
+impl Spread {
+    pub fn new(seed: u64) -> Spread {
+        Spread { seed, drawn: Cell::new(0) }
+    }
+
+    /// The next pause: 0.8 to 1 times the given one.
+    pub fn of(&self, pause: Duration) -> Duration {
+        pause.mul_f64(LEAST + (1.0 - LEAST) * self.chance())
+    }
+
+    /// The next pause: anything up to the given one.
+    pub fn up_to(&self, most: Duration) -> Duration {
+        most.mul_f64(self.chance())
+    }
+
+    fn chance(&self) -> f64 {
+        let drawn = self.drawn.get();
+        self.drawn.set(drawn.wrapping_add(1));
+        let hash = BuildHasherDefault::<DefaultHasher>::default().hash_one((self.seed, drawn));
+        (hash % STEPS) as f64 / STEPS as f64
+    }
+}
