--- /dev/null
+++ b/crates/steward/tests/crossing_lifecycle/shutdown.rs
@@ -0,0 +1,342 @@
+//! SIGTERM beside what else is under way.
+
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+use socket2::{Domain, Socket, Type};
+
+use crate::stand_in::{
+    address, host, list, nobody, take, Client, Configuration, Connection, Daemon, Peer, Relay, RelayWatch,
+    BOUND,
+};
+use crate::{at_once, at_the_end, closed, configuration, ended_well, serving, settled, terminated_well};
+
+/// Reads the request for news that comes there, and answers the head of the news.
+fn watch_on(mut stream: TcpStream) -> RelayWatch {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).expect("a request");
+        head.extend(byte);
+    }
+    let mut connection = Connection::on(stream, 0);
+    connection.begin_chunked();
+    RelayWatch::new(connection)
+}
+
+/// Guards against an end that waits for an answer.
+#[test]
+fn a_call_that_was_written_and_is_unanswered_holds_no_end_up() {
+    let (relay, discovery) = (Relay::listening(), Peer::listening());
+    let mut daemon = Daemon::up(&configuration(relay.address(), discovery.address));
+    let watch = relay.watch();
+    watch.joined(0, "east", true);
+    let call = relay.call();
+    terminated_well(&mut daemon);
+    assert_eq!(relay.peer.closed(call.connection.number), 0);
+}
+
+/// Guards against an end that first reads what has come, or repeats a call that was answered.
+#[test]
+fn a_call_that_was_answered_and_is_unread_holds_no_end_up() {
+    let (relay, discovery) = (Relay::listening(), Peer::listening());
+    let mut daemon = Daemon::up(&configuration(relay.address(), discovery.address));
+    let watch = relay.watch();
+    watch.joined(0, "east", true);
+    let call = relay.call();
+    let number = call.connection.number;
+    at_once(&daemon, || {
+        take(call);
+        daemon.signal("-TERM");
+    });
+    ended_well(&mut daemon);
+    assert_eq!(relay.peer.closed(number), 0);
+}
+
+/// Guards against an end that tries on until the relay takes the call.
+#[test]
+fn a_call_that_the_relay_refuses_to_connect_for_holds_no_end_up() {
+    let (relay, discovery) = (Relay::listening(), Peer::listening());
+    let mut daemon = Daemon::up(&configuration(relay.address(), discovery.address));
+    let watch = relay.watch();
+    relay.peer.refuse();
+    watch.joined(0, "east", true);
+    daemon.says("how: not sent");
+    terminated_well(&mut daemon);
+    assert_eq!(at_the_end(&daemon, 0, "calls_unsure"), 0);
+}
+
+/// Guards against an end that waits for a connection to come up.
+#[test]
+fn a_call_that_the_relay_takes_no_connection_for_holds_no_end_up() {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from((address::own(), 0)).into()).expect("an address");
+    socket.listen(0).expect("it listens");
+    let listening = TcpListener::from(socket);
+    let at = listening.local_addr().expect("an address");
+    let mut daemon = Daemon::up(&configuration(at, Peer::listening().address));
+    let watch = watch_on(listening.accept().expect("a watch").0);
+    // This one waits to be accepted, for good, so there is no room for another.
+    let _waiting = TcpStream::connect(at).expect("room for one");
+    watch.joined(0, "east", true);
+    daemon.says("the connection did not come up");
+    terminated_well(&mut daemon);
+    assert_eq!(at_the_end(&daemon, 0, "calls_unsure"), 0);
+}
+
+/// A relay whose watch stands and names a proxy. It reads no call, and its window and segments are so small that a long
+/// one does not fit into what the kernels of both sides hold: the daemon can't write all of it. The connections that
+/// carry calls come by the channel.
+fn narrow_relay() -> (SocketAddr, Receiver<TcpStream>) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(1).expect("an option");
+    socket.set_tcp_mss(88).expect("an option");
+    socket.bind(&SocketAddr::from((address::own(), 0)).into()).expect("an address");
+    socket.listen(64).expect("it listens");
+    let listening = TcpListener::from(socket);
+    let at = listening.local_addr().expect("an address");
+    let (tell, calls) = channel();
+    std::thread::spawn(move || {
+        let mut watches = Vec::new();
+        for stream in listening.incoming().flatten() {
+            let mut first = [0; 4];
+            stream.set_read_timeout(Some(BOUND)).expect("a time limit");
+            while matches!(stream.peek(&mut first), Ok(1..4)) {
+                std::thread::yield_now();
+            }
+            if &first == b"GET " {
+                let watch = watch_on(stream);
+                watch.joined(0, "east", true);
+                watches.push(watch);
+            } else if tell.send(stream).is_err() {
+                return;
+            }
+        }
+    });
+    (at, calls)
+}
+
+/// The length that the head of a request promises, and how much of its body came before the end of the connection.
+fn promised_and_came(mut stream: TcpStream) -> (usize, usize) {
+    let mut came = Vec::new();
+    let _ = stream.read_to_end(&mut came);
+    let head = came.windows(4).position(|four| four == b"\r\n\r\n").map_or(came.len(), |at| at + 4);
+    let text = String::from_utf8_lossy(&came[..head]).to_ascii_lowercase();
+    let length = text.split("content-length:").nth(1).and_then(|rest| rest.lines().next());
+    let promised = length.and_then(|length| length.trim().parse().ok());
+    (promised.expect("a length"), came.len() - head)
+}
+
+/// Guards against an end that writes on until the relay reads, and against a call that is closed as if it were whole.
+#[test]
+fn a_call_that_is_half_written_holds_no_end_up_and_never_becomes_whole() {
+    let (at, calls) = narrow_relay();
+    let hosts: Vec<Value> = (0..12).map(|place| host(&format!("{place:08000}"), nobody(), "east")).collect();
+    let configuration = configuration(at, Peer::listening().address).knowing(7, &hosts);
+    let mut daemon = Daemon::up(&configuration);
+    let first = calls.recv_timeout(BOUND).expect("a call");
+    terminated_well(&mut daemon);
+    for call in std::iter::once(first).chain(calls.try_iter()) {
+        let (promised, came) = promised_and_came(call);
+        assert!(promised > 30_000, "the call is small, {promised}");
+        assert!(came < promised, "all {came} of {promised} bytes came");
+    }
+}
+
+/// Guards against half a line that is taken for a whole one when its connection ends with the program.
+#[test]
+fn half_a_line_of_a_collector_holds_no_end_up_and_is_not_taken() {
+    let (mut daemon, ..) = settled(&Peer::listening());
+    let mut collector = daemon.dial();
+    collector.write(b"SOURCE zone=east\r\nRATE proxy=0 class=look tries=19 failed=0 span_ms=10");
+    // The rest came with the line that joined it.
+    daemon.counter_reaches("connections_joined", 1);
+    let asked = daemon.log().iter().filter(|line| line.contains("counters: ")).count();
+    terminated_well(&mut daemon);
+    assert_eq!(closed(&mut collector), "");
+    assert_eq!(at_the_end(&daemon, asked, "lines_taken"), 0);
+    assert_eq!(at_the_end(&daemon, asked, "lines_skipped"), 0);
+}
+
+/// Guards against half an answer, and against an end that waits for whoever asked.
+#[test]
+fn a_ping_in_the_instant_of_the_end_is_answered_whole_or_not_at_all() {
+    for ping_first in [true, false] {
+        let (mut daemon, ..) = settled(&Peer::listening());
+        let mut client = daemon.dial();
+        client.write(b"PING\r\n");
+        assert_eq!(client.line().as_deref(), Some("PONG\r\n"));
+        at_once(&daemon, || {
+            if ping_first {
+                client.write(b"PING\r\n");
+            }
+            daemon.signal("-TERM");
+            if !ping_first {
+                client.write(b"PING\r\n");
+            }
+        });
+        ended_well(&mut daemon);
+        let said = closed(&mut client);
+        assert!(said.is_empty() || said == "PONG\r\n", "{said:?}");
+    }
+}
+
+/// Guards against connections that hang because the program ended before it had taken them.
+#[test]
+fn connections_that_were_not_taken_yet_end_with_the_program() {
+    let (mut daemon, ..) = settled(&Peer::listening());
+    let mut clients: Vec<Client> = Vec::new();
+    at_once(&daemon, || {
+        clients = (0..100).map(|_| daemon.dial()).collect();
+        clients.iter_mut().for_each(|client| client.write(b"SOURCE zone=east\r\n"));
+        daemon.signal("-TERM");
+    });
+    ended_well(&mut daemon);
+    assert!(clients.iter_mut().all(|client| closed(client).is_empty()));
+}
+
+/// Guards against a start that can't be ended before it is through, and a `PONG` from one that never was ready.
+#[test]
+fn a_first_list_and_a_watch_that_do_not_come_hold_no_end_up() {
+    let (relay, discovery) = (Relay::listening(), Peer::listening());
+    let mut daemon = Daemon::up(&Configuration::new(relay.address(), discovery.address));
+    let watch = relay.peer.request("GET /watch");
+    let asked = discovery.request("GET /v1/servers");
+    let mut client = daemon.dial();
+    client.write(b"PING\r\n");
+    daemon.counter_reaches("pings", 1);
+    terminated_well(&mut daemon);
+    assert_eq!(closed(&mut client), "");
+    assert_eq!(relay.peer.closed(watch.connection.number), 0);
+    assert_eq!(discovery.closed(asked.connection.number), 0);
+}
+
+/// Guards against half a list that is taken for a whole one when the program ends.
+#[test]
+fn half_an_answer_of_discovery_holds_no_end_up_and_is_not_taken() {
+    let (relay, discovery) = (Relay::listening(), Peer::listening());
+    let mut daemon = Daemon::up(&Configuration::new(relay.address(), discovery.address));
+    let mut asked = discovery.request("GET /v1/servers");
+    let body = list(9, true, &[serving("one")]).to_string();
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+    asked.connection.write((head + &body[..body.len() / 2]).as_bytes());
+    // What came before this signal was there when the daemon looked at its connections.
+    daemon.counter("list_asks");
+    terminated_well(&mut daemon);
+    assert_eq!(discovery.closed(asked.connection.number), 0);
+    assert_eq!(at_the_end(&daemon, 1, "list_answers"), 0);
+}
+
+/// One of the orders in which two signals can come.
+type SignalOrder = fn(&Daemon, &dyn Fn(&Daemon, &str, &str));
+
+/// Guards against a reload that keeps the end from being heard, or the end that a SIGHUP turns into a death by signal.
+#[test]
+fn a_reload_beside_the_end_does_not_change_it() {
+    let both = |daemon: &Daemon, first: &str, second: &str| {
+        daemon.signal(first);
+        daemon.signal(second);
+    };
+    let each: [SignalOrder; 4] = [
+        |daemon, both| at_once(daemon, || both(daemon, "-HUP", "-TERM")),
+        |daemon, both| both(daemon, "-HUP", "-TERM"),
+        |daemon, both| both(daemon, "-TERM", "-HUP"),
+        |daemon, _| {
+            daemon.signal("-HUP");
+            daemon.says("a new configuration");
+            daemon.signal("-TERM");
+        },
+    ];
+    for how in each {
+        let (mut daemon, ..) = settled(&Peer::listening());
+        how(&daemon, &both);
+        ended_well(&mut daemon);
+    }
+}
+
+/// Guards against a second signal that ends the program as if it had crashed.
+#[test]
+fn a_second_signal_to_end_does_not_change_the_first() {
+    for second in ["-TERM", "-INT"] {
+        let (mut daemon, ..) = settled(&Peer::listening());
+        daemon.signal("-TERM");
+        daemon.signal(second);
+        ended_well(&mut daemon);
+        let (mut daemon, ..) = settled(&Peer::listening());
+        at_once(&daemon, || {
+            daemon.signal("-TERM");
+            daemon.signal(second);
+        });
+        ended_well(&mut daemon);
+    }
+}
+
+fn bytes_in(folder: &Path) -> u64 {
+    let files = std::fs::read_dir(folder).into_iter().flatten().flatten();
+    files.filter_map(|file| file.metadata().ok()).map(|data| data.len()).sum()
+}
+
+/// Guards against an end in the middle of a write that leaves state nobody can read.
+#[test]
+fn state_that_is_being_written_at_the_end_can_be_read_after_it() {
+    let parent = tempfile::tempdir().expect("a folder");
+    let state: PathBuf = parent.path().join("state");
+    for life in 1..=5 {
+        let (relay, discovery) = (Relay::listening(), Peer::listening());
+        let mut configuration = configuration(relay.address(), discovery.address);
+        configuration.operator = format!("[state]\nfolder = {state:?}\nevery = \"100ms\"\n");
+        let mut daemon = Daemon::up(&configuration);
+        let hosts: Vec<Value> =
+            (0..3_000).map(|place| serving(&format!("life-{life}-host-{place}"))).collect();
+        let before = bytes_in(&state);
+        discovery.request("GET /v1/servers").answer(200, &list(7 + life, true, &hosts).to_string());
+        let until = Instant::now() + BOUND;
+        while bytes_in(&state) == before {
+            assert!(Instant::now() < until, "nothing is kept");
+        }
+        terminated_well(&mut daemon);
+        let mut verify = Command::new(crate::stand_in::program());
+        let verified = verify.args(["state", "verify"]).arg(&state).output().expect("a start");
+        assert_eq!(verified.status.code(), Some(0), "{verified:?}");
+        assert!(!daemon.log().iter().any(|line| line.contains("spoilt")));
+    }
+}
+
+/// Guards against a second SIGTERM that goes unheard, or counts as a crash, while the fleet is told of the first.
+#[test]
+fn a_second_sigterm_while_the_fleet_is_told_ends_the_program_at_once() {
+    let parent = tempfile::tempdir().expect("a folder");
+    let policy = parent.path().join("policy.toml");
+    std::fs::write(&policy, "revision = 1\n").expect("a file");
+    // Of its two voters nobody is up.
+    let members: Vec<SocketAddr> = (0..3).map(|_| nobody()).collect();
+    let mut operator = format!(
+        "[fleet]\nname = \"m0\"\nid = \"ends\"\nlisten = \"{}\"\nfolder = {:?}\npolicy = {policy:?}\n\
+         govern = [\"look\"]\nacts = \"1100ms\"\nknows = \"2700ms\"\nslack = \"30ms\"\ndrift = 0.01\n\
+         linger = \"300ms\"\nelection = \"350ms\"\nbeat = \"60ms\"\n",
+        members[0],
+        parent.path().join("disk"),
+    );
+    for (place, at) in members.iter().enumerate() {
+        let votes = place > 0;
+        let member =
+            format!("\n[[fleet.member]]\nname = \"m{place}\"\naddress = \"{at}\"\nvotes = {votes}\n");
+        operator.push_str(&member);
+    }
+    let mut configuration = configuration(Relay::listening().address(), Peer::listening().address);
+    configuration.operator = operator;
+    let mut daemon = Daemon::up(&configuration);
+    daemon.signal("-TERM");
+    daemon.says("this steward lets go");
+    let second = Instant::now();
+    daemon.signal("-TERM");
+    ended_well(&mut daemon);
+    assert!(second.elapsed() < Duration::from_millis(400), "{:?}", second.elapsed());
+    daemon.says("counters: ");
+    assert!(!daemon.log().iter().any(|line| line.contains("ends unheard")), "{}", daemon.log().join("\n"));
+}
