The event loop in four files: proxies, hosts and replies stand by themselves

What the news says of proxies, which hosts there are, and what is handed on are now desk/proxies.rs, desk/hosts.rs and desk/replies.rs; nothing else changes.

--- a/crates/steward/src/desk.rs
+++ b/crates/steward/src/desk.rs
@@ -11,21 +11,22 @@
 use amberarch_core::*;
 use amberarch_facts::Names;
 use amberarch_intake::Believed;
-use amberarch_intake_grpc::NamedHost;
 use amberarch_residency::Judge;
-use amberarch_roster::Hint;
-use slog::{error, info, warn, Logger};
+use slog::{error, warn, Logger};
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, Instant};
 
 use crate::counters::{Counters, Seldom};
 use crate::fleet::Ward;
 use crate::guard::Keeper;
-use crate::heard::{Ask, Encoded, Entry, Health, Heard, Listing, News, Out, Probe, Reply, Row, Ruled};
+use crate::heard::{Entry, Heard, Listing, Out};
 use crate::lines::Said;
-use crate::orders;
 use crate::state::{self, Rolls};
 
+mod hosts;
+mod proxies;
+mod replies;
+
 /// The names that lines and lists use, in the order of the settings.
 pub struct Labels {
     pub zones: Vec<String>,
@@ -202,24 +203,6 @@
         }
     }
 
-    /// Tells what holds which hosts there are.
-    fn tell_zones(&mut self) {
-        let now = self.now();
-        let Some(ward) = &mut self.ward else { return };
-        let mut zones = crate::fleet::Listed::default();
-        for Known { listed, lost, .. } in self.hosts.values() {
-            if *lost {
-                ward.judge().lost(now, listed.host);
-            } else {
-                ward.judge().listed(now, listed.host, listed.zone, listed.standing);
-            }
-            let on = listed.standing == Standing::On;
-            *zones.hosts.entry(listed.zone).or_default() += u32::from(on);
-            *zones.weights.entry(listed.zone).or_default() += if on { listed.weight } else { 0.0 };
-        }
-        ward.listed(zones);
-    }
-
     /// Runs until nobody is left who could bring anything.
     pub async fn run(mut self, mut heard: mpsc::Receiver<Heard>) {
         const MOST_AT_ONCE: usize = 1_024;
@@ -311,51 +294,7 @@
                     self.left(proxy);
                 }
             }
-            Heard::News(News::Joined { proxy, zone, weight, fresh }) => {
-                let zone =
-                    place(&self.labels.zones, &zone).filter(|_| u32::from(proxy) < self.labels.proxies);
-                let Some(zone) = zone.map(ZoneId) else {
-                    self.counters.news_skipped.one();
-                    return self.skip("a proxy that is not known, or of such a zone".into());
-                };
-                // In what stands, one that is known goes on; one that holds no ordered table came anew.
-                let proxy = ProxyId(proxy);
-                let goes_on = self.unseen.as_mut().is_some_and(|unseen| unseen.remove(&proxy));
-                if goes_on && !fresh && !self.anew {
-                    return;
-                }
-                self.left(proxy);
-                self.judged(|judge, now| judge.joined(now, proxy, zone, fresh));
-                self.counters.joined.one();
-                let txns_per_s = weight.max(0.0);
-                self.joined.insert(proxy, Joined { zone, txns_per_s });
-                self.guard_hears(&Event::Joined { proxy, zone, txns_per_s, fresh });
-                self.events.push(Event::Joined { proxy, zone, txns_per_s, fresh });
-            }
-            Heard::News(News::Left { proxy }) if u32::from(proxy) >= self.labels.proxies => {
-                self.counters.news_skipped.one();
-                self.skip("the leaving of a proxy that is not known".into());
-            }
-            Heard::News(News::Left { proxy }) => {
-                if let Some(unseen) = &mut self.unseen {
-                    unseen.remove(&ProxyId(proxy));
-                }
-                self.left(ProxyId(proxy));
-            }
-            Heard::News(News::Applied { proxy, mark, took_ms }) => {
-                // One that has left is answered for by nobody; an answer that names it is late or spoilt.
-                let (proxy, mark) = (ProxyId(proxy), MarkId(mark));
-                if !self.joined.contains_key(&proxy) || took_ms.is_nan() || took_ms < 0.0 {
-                    self.counters.news_skipped.one();
-                    return self.skip("an answer to a mark that can't be".into());
-                }
-                self.counters.applied.one();
-                self.judged(|judge, now| judge.applied(now, proxy, mark));
-                self.guard_hears(&Event::Applied { proxy, mark, took: took_ms });
-                if let Some(mark) = self.own(mark) {
-                    self.events.push(Event::Applied { proxy, mark, took: took_ms });
-                }
-            }
+            Heard::News(news) => self.news(news),
             Heard::Listed(listing) if self.rolls.is_some() => {
                 let now = (self.unix)();
                 let rows = listing.hosts.iter().map(|row| (row.host.clone(), state::kept(row))).collect();
@@ -395,17 +334,7 @@
                 self.seen(host, self.now());
                 self.events.push(Event::Probed { host, outcome, took, report });
             }
-            Heard::Together { marks } => {
-                // The guard counts what earlier decisions wrote too.
-                if let (Some(first), Some(last)) = (marks.first().copied(), marks.last().copied()) {
-                    self.guard_hears(&Event::Together { first, last });
-                }
-                // Of these decisions: what those before them wrote is not counted any more.
-                let own: Vec<MarkId> = marks.into_iter().filter_map(|mark| self.own(mark)).collect();
-                if let (Some(first), Some(last)) = (own.first().copied(), own.last().copied()) {
-                    self.events.push(Event::Together { first, last });
-                }
-            }
+            Heard::Together { marks } => self.together(&marks),
             Heard::Again { mark } => {
                 self.judged(|judge, _| judge.unsure(mark));
                 self.guard_hears(&Event::Again { mark });
@@ -476,15 +405,6 @@
         }
     }
 
-    fn left(&mut self, proxy: ProxyId) {
-        if self.joined.remove(&proxy).is_some() {
-            self.judged(|judge, now| judge.left(now, proxy));
-            self.guard_hears(&Event::Left { proxy });
-            self.counters.left.one();
-            self.events.push(Event::Left { proxy });
-        }
-    }
-
     fn sum(&self, sum: Said) -> Result<Event, String> {
         match sum {
             Said::Load { zone, host, tries, voided, mean, over, report } => {
@@ -506,167 +426,6 @@
         }
     }
 
-    fn listed(&mut self, listing: Listing, news: ListNews) {
-        if listing.whole {
-            self.hosts.values_mut().for_each(|known| known.listed.standing = Standing::Gone);
-        }
-        let mut entries = Vec::with_capacity(listing.hosts.len());
-        for row in &listing.hosts {
-            let Some(entry) = self.entry(row) else {
-                self.counters.list_skipped.one();
-                match self.lost(row) {
-                    Some(entry) => {
-                        self.skip("a host that moved to a zone that is not known: it counts as gone".into());
-                        entries.push(entry);
-                    }
-                    None => self.skip("a host of a zone that is not known".into()),
-                }
-                continue;
-            };
-            let (born_ms, dial) = (row.born_ms, row.dial.parse().ok());
-            let known = Known { listed: entry.clone(), born_ms, dial, lost: false };
-            self.hosts.insert(entry.host, known);
-            entries.push(entry);
-        }
-        amberarch_residency::last_rows(&mut entries);
-        info!(self.log, "the list"; "seq" => listing.seq, "how" => ?news, "entries" => entries.len());
-        let list = Event::List { news, entries };
-        self.guard_hears(&list);
-        self.events.push(list);
-        self.tell_list();
-        self.tell_zones();
-    }
-
-    /// What the roster trusts and the decisions do not know yet, with hints of what was learnt before this run.
-    fn roll_out(&mut self, news: ListNews, always: bool) {
-        let now = (self.unix)();
-        let Some(rolls) = &mut self.rolls else { return };
-        let rows = rolls.roster.emit(now);
-        if rows.is_empty() && !always {
-            return;
-        }
-        let hint = |(host, _): &(String, _)| Some((host.clone(), rolls.roster.hint(now, host)?));
-        let hints: Vec<(String, Hint)> = rows.iter().filter_map(hint).collect();
-        let seq = rolls.roster.seq();
-        let hosts = rows.into_iter().map(|(host, row)| state::listed(host, row)).collect();
-        self.listed(Listing { seq, whole: false, hosts }, news);
-        for (host, Hint { part, shut }) in hints {
-            if let Some(host) = self.names.find(&host) {
-                self.events.push(Event::Hint { host, part, shut });
-            }
-        }
-    }
-
-    /// Probes what is not trusted yet, lets in what has come to be, and hands on what the disk does not hold.
-    fn tend(&mut self) {
-        /// The writer's own period is no shorter than a tenth of this.
-        const HAND_ON: Duration = Duration::from_millis(500);
-        let now = (self.unix)();
-        let Some(rolls) = &mut self.rolls else { return };
-        for (name, dial) in rolls.roster.to_probe(now) {
-            let host = self.names.id(&name);
-            let entry = dial.parse().ok().map(|dial| Entry { dial, born_ms: 0.0 });
-            if entry.is_none_or(|entry| self.out.probes.try_send(Probe { host, entry }).is_err()) {
-                self.counters.probes_unsent.one();
-                rolls.roster.probed(now, &name, None);
-            }
-        }
-        if self.kept_at.elapsed() >= HAND_ON {
-            self.kept_at = Instant::now();
-            rolls.writer.keep(rolls.roster.to_keep(), rolls.roster.stand());
-        }
-        self.roll_out(ListNews::Changes, false);
-    }
-
-    /// Whether the list has another process under that name by now. Guards against gating a host that has just come, or
-    /// letting it in, for what a probe of the one before it found.
-    fn replaced(&self, host: HostId, entry: Entry) -> bool {
-        let known = self.hosts.get(&host);
-        known.is_some_and(|known| known.entry().is_some_and(|now| now != entry))
-    }
-
-    fn proved(&mut self, host: HostId, outcome: Outcome) {
-        let now = (self.unix)();
-        let pass = match outcome {
-            Outcome::Answered => Some(true),
-            Outcome::Full | Outcome::Unknown => None,
-            Outcome::Errored | Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset => Some(false),
-        };
-        if let Some((rolls, name)) = self.rolls.as_mut().zip(self.names.name(host)) {
-            rolls.roster.probed(now, name, pass);
-        }
-    }
-
-    fn served(&mut self, event: &Event) {
-        let now = (self.unix)();
-        if let (Some(rolls), Event::Met { host, tries, voided, .. }) = (&mut self.rolls, event) {
-            if let Some(name) = self.names.name(*host).filter(|_| tries > voided) {
-                rolls.roster.met(now, name);
-            }
-        }
-    }
-
-    fn learnt(&mut self, host: HostId, part: Option<f64>, shut: Option<bool>) {
-        let now = (self.unix)();
-        if let Some((rolls, name)) = self.rolls.as_mut().zip(self.names.name(host)) {
-            rolls.roster.learnt(now, name, part, shut);
-        }
-    }
-
-    /// Tells the intake, where there is one, which hosts are listed.
-    fn tell_list(&self) {
-        let Some(witness) = &self.out.witness else { return };
-        let listed = self.hosts.values().map(|known| &known.listed);
-        let named = |listed: &Listed| {
-            let (host, zone, born) = (listed.host, listed.zone, listed.born);
-            Some(NamedHost { name: self.names.name(host)?.into(), host, zone, born })
-        };
-        witness.list(listed.filter(|listed| listed.standing != Standing::Gone).filter_map(named).collect());
-    }
-
-    fn seen(&self, host: HostId, at: f64) {
-        if let Some(witness) = &self.out.witness {
-            witness.seen(host, at);
-        }
-    }
-
-    fn entry(&mut self, row: &Row) -> Option<Listed> {
-        let zone = ZoneId(place(&self.labels.zones, &row.site)?);
-        let kind = place(&self.labels.kinds, &row.class).unwrap_or(self.labels.kinds.len() as u16);
-        let host = self.names.id(&row.host);
-        // One clock is read by all machines; here its times become the module's. Once for each start:
-        // two clocks read twice differ by a little, and a later time would be one more start.
-        let same = self.hosts.get(&host).filter(|known| known.born_ms == row.born_ms);
-        let age = || (self.unix)() - row.born_ms;
-        let born =
-            same.map_or_else(|| (row.born_ms > 0.0).then(|| self.now() - age()), |known| known.listed.born);
-        Some(Listed {
-            host,
-            weight: row.share,
-            zone,
-            pod: PodId(row.block),
-            kind: KindId(kind),
-            born,
-            standing: match row.health {
-                Health::InService => Standing::On,
-                Health::Terminating => Standing::Draining,
-                Health::Terminated => Standing::Gone,
-            },
-        })
-    }
-
-    /// A known host that a row has in a zone nobody knows, where a policy of the fleet governs: left where it was, it
-    /// would go on serving what only that zone may. Where none governs the row is skipped like any that can't be read:
-    /// a spoilt word, alone in a good list of changes, must not take a host out of service. (A whole list without a
-    /// host that can be read has it gone either way.)
-    fn lost(&mut self, row: &Row) -> Option<Listed> {
-        self.ward.as_ref()?;
-        let known = self.hosts.get_mut(&self.names.find(&row.host)?)?;
-        known.lost = true;
-        known.listed.standing = Standing::Gone;
-        Some(known.listed.clone())
-    }
-
     fn decide(&mut self) {
         self.tend();
         let (now, unix) = (self.now(), (self.unix)());
@@ -721,170 +480,6 @@
         let number = mark.0.wrapping_sub(self.first_mark);
         (number < u16::MAX / 2).then_some(MarkId(number))
     }
-
-    fn hand_out(&mut self, mut decided: Vec<Order>) {
-        /// The wire page: 71 minutes at most.
-        const LONGEST_TIMER: Duration = Duration::from_secs(71 * 60);
-        let (mut calls, mut mark, mut gone) = (Vec::new(), None, Vec::new());
-        for order in &mut decided {
-            if let Order::Mark { mark, .. } = order {
-                mark.0 = mark.0.wrapping_add(self.first_mark);
-            }
-        }
-        for order in &decided {
-            self.counters.orders.one();
-            match order {
-                Order::Timer { after, timer } => {
-                    let after = Duration::try_from_secs_f64(after / 1e3).unwrap_or_default();
-                    self.timers.push(Reverse((Instant::now() + after.min(LONGEST_TIMER), *timer)));
-                }
-                Order::Probe { host } => self.probe(*host),
-                Order::Watch { on } => self.ask(if *on { Ask::Watch } else { Ask::Unwatch }),
-                Order::Fetch => self.ask(Ask::Whole),
-                Order::Forget { host } => gone.push(*host),
-                Order::Learnt { host, part } => {
-                    if self.ward.is_some() {
-                        self.parts.insert(*host, *part);
-                    }
-                    self.learnt(*host, Some(*part), None);
-                }
-                Order::Log { text } => info!(self.log, "the decisions say"; "text" => text),
-                Order::Tell { .. } => warn!(self.log, "stewards do not speak with each other on sockets"),
-                order => {
-                    if let Order::Withdraw { host, out } = order {
-                        self.learnt(*host, None, Some(*out));
-                    }
-                    match order {
-                        Order::Mark { mark: number, .. } => mark = Some(*number),
-                        Order::Withdraw { host, out: true } => drop(self.shut_out.insert(*host)),
-                        Order::Withdraw { host, out: false } => drop(self.shut_out.remove(host)),
-                        _ => {}
-                    }
-                    calls.push(order);
-                }
-            }
-        }
-        let owes = self.guard.as_ref().is_some_and(Keeper::waits);
-        if (!calls.is_empty() || owes) && !self.call(calls, mark) {
-            return;
-        }
-        for host in gone {
-            self.judged(|judge, _| judge.forgotten(host));
-            self.names.forget(host);
-            self.hosts.remove(&host);
-            self.shut_out.remove(&host);
-            self.parts.remove(&host);
-        }
-    }
-
-    /// Orders a mark and nothing else, whose answers say what proxies hold. Its number is none that the decisions give:
-    /// theirs count up from the first of their life, these down from it.
-    fn ask_proxies(&mut self) {
-        self.own_marks = (self.own_marks + 1) % (MARKS_OF_A_LIFE / 4);
-        let mark = MarkId(self.first_mark.wrapping_sub(1 + self.own_marks));
-        self.call(vec![&Order::Mark { mark, everyone: true }], Some(mark));
-    }
-
-    /// Hands a reply to the relay, after it was judged. False where the decisions start anew for it.
-    fn call(&mut self, calls: Vec<&Order>, mark: Option<MarkId>) -> bool {
-        let let_in = std::mem::take(&mut self.let_in).into_iter();
-        let ahead: Vec<Order> = let_in.map(|host| Order::Withdraw { host, out: false }).collect();
-        let now = self.now();
-        // What an earlier start of the decisions left in tables, and this one knows nothing of, goes first.
-        let mends = match &mut self.ward {
-            Some(ward) if std::mem::take(&mut self.mends) => ward.judge().mends(now),
-            _ => vec![],
-        };
-        let mut orders: Vec<Order> =
-            mends.into_iter().chain(ahead).chain(calls.into_iter().cloned()).collect();
-        let (mut place, mut anew) = (0, false);
-        if let Some(guard) = &mut self.guard {
-            (orders, place, anew) = guard.pass(now, orders);
-        }
-        let Some(ward) = &mut self.ward else {
-            let ruled = Ruled { life: self.life, place, ..Ruled::default() };
-            let sent = orders.is_empty() || self.send(orders.iter(), mark, ruled);
-            if sent && anew {
-                self.start_anew();
-            }
-            return sent && !anew;
-        };
-        let sifted = ward.sift(now, orders);
-        let judged = ward.judge().place();
-        let ruled = Ruled { under: ward.under(), stage: ward.stage(), life: self.life, place: judged };
-        if let Some(guard) = &mut self.guard {
-            let refused: Vec<Order> = sifted.refused.iter().map(|refused| refused.0.clone()).collect();
-            guard.sifted(judged, &refused);
-        }
-        if !self.send(sifted.orders.iter(), mark, ruled) {
-            return false;
-        }
-        if anew {
-            self.start_anew();
-            return false;
-        }
-        if !sifted.refused.is_empty() {
-            error!(self.log, "a reply would have broken residency; the decisions start anew");
-            self.start_anew();
-            return false;
-        }
-        true
-    }
-
-    fn send<'a>(
-        &mut self,
-        orders: impl Iterator<Item = &'a Order>,
-        mark: Option<MarkId>,
-        ruled: Ruled,
-    ) -> bool {
-        let name = |host| self.names.name(host).map(String::from);
-        let ward = self.ward.is_some() || self.guard.is_some();
-        let encoded = |order: &Order| {
-            let binds = match order {
-                &Order::Bind { proxy, .. } => Some(proxy),
-                _ => None,
-            };
-            let mark = match order {
-                &Order::Mark { mark, .. } => Some(mark),
-                _ => None,
-            };
-            let bytes = orders::encode(order, name, &self.labels.products)?;
-            Some(Encoded { bytes, binds, mark, order: ward.then(|| order.clone()) })
-        };
-        let orders = orders.filter_map(encoded).collect();
-        self.counters.replies.one();
-        // The module's own count of what waits bounds this queue far below its size. The desk waits
-        // for nobody: should it be full all the same, what is lost is made good by starting anew.
-        if let Err(lost) = self.out.relay.try_send(Reply { orders, mark, ruled }) {
-            self.counters.replies_lost.one();
-            if let Some(hidden) = self.full.pass() {
-                error!(self.log, "the relay's queue is full; the decisions start anew"; "hidden" => hidden);
-            }
-            let lost = lost.into_inner().orders.into_iter().filter_map(|order| order.order);
-            let lost: Vec<Order> = lost.collect();
-            self.gave_up(&lost);
-            self.start_anew();
-            return false;
-        }
-        true
-    }
-
-    fn ask(&mut self, ask: Ask) {
-        if self.out.list.try_send(ask).is_err() {
-            self.counters.list_asks_lost.one();
-            self.events.push(Event::List { news: ListNews::Failed, entries: vec![] });
-        }
-    }
-
-    fn probe(&mut self, host: HostId) {
-        let entry = self.hosts.get(&host).and_then(Known::entry);
-        let sent = entry.is_some_and(|entry| self.out.probes.try_send(Probe { host, entry }).is_ok());
-        if !sent {
-            self.counters.probes_unsent.one();
-            let (outcome, report) = (Outcome::Unknown, LoadReport::default());
-            self.events.push(Event::Probed { host, outcome, took: 0.0, report });
-        }
-    }
 }
 
 /// What the hosts of each zone that are let in carry, in listed weights.
--- /dev/null
+++ b/crates/steward/src/desk/hosts.rs
@@ -0,0 +1,194 @@
+//! Which hosts there are: the list and the roster turned into entries, and what each host's name stands for.
+
+use std::time::Duration;
+
+use amberarch_core::{Event, HostId, KindId, ListNews, Listed, Outcome, PodId, Standing, ZoneId};
+use amberarch_intake_grpc::NamedHost;
+use amberarch_roster::Hint;
+use slog::info;
+use tokio::time::Instant;
+
+use super::{place, Desk, Known};
+use crate::heard::{Entry, Health, Listing, Probe, Row};
+use crate::state;
+
+impl Desk {
+    /// Tells what holds which hosts there are.
+    pub(super) fn tell_zones(&mut self) {
+        let now = self.now();
+        let Some(ward) = &mut self.ward else { return };
+        let mut zones = crate::fleet::Listed::default();
+        for Known { listed, lost, .. } in self.hosts.values() {
+            if *lost {
+                ward.judge().lost(now, listed.host);
+            } else {
+                ward.judge().listed(now, listed.host, listed.zone, listed.standing);
+            }
+            let on = listed.standing == Standing::On;
+            *zones.hosts.entry(listed.zone).or_default() += u32::from(on);
+            *zones.weights.entry(listed.zone).or_default() += if on { listed.weight } else { 0.0 };
+        }
+        ward.listed(zones);
+    }
+
+    pub(super) fn listed(&mut self, listing: Listing, news: ListNews) {
+        if listing.whole {
+            self.hosts.values_mut().for_each(|known| known.listed.standing = Standing::Gone);
+        }
+        let mut entries = Vec::with_capacity(listing.hosts.len());
+        for row in &listing.hosts {
+            let Some(entry) = self.entry(row) else {
+                self.counters.list_skipped.one();
+                match self.lost(row) {
+                    Some(entry) => {
+                        self.skip("a host that moved to a zone that is not known: it counts as gone".into());
+                        entries.push(entry);
+                    }
+                    None => self.skip("a host of a zone that is not known".into()),
+                }
+                continue;
+            };
+            let (born_ms, dial) = (row.born_ms, row.dial.parse().ok());
+            let known = Known { listed: entry.clone(), born_ms, dial, lost: false };
+            self.hosts.insert(entry.host, known);
+            entries.push(entry);
+        }
+        amberarch_residency::last_rows(&mut entries);
+        info!(self.log, "the list"; "seq" => listing.seq, "how" => ?news, "entries" => entries.len());
+        let list = Event::List { news, entries };
+        self.guard_hears(&list);
+        self.events.push(list);
+        self.tell_list();
+        self.tell_zones();
+    }
+
+    /// What the roster trusts and the decisions do not know yet, with hints of what was learnt before this run.
+    pub(super) fn roll_out(&mut self, news: ListNews, always: bool) {
+        let now = (self.unix)();
+        let Some(rolls) = &mut self.rolls else { return };
+        let rows = rolls.roster.emit(now);
+        if rows.is_empty() && !always {
+            return;
+        }
+        let hint = |(host, _): &(String, _)| Some((host.clone(), rolls.roster.hint(now, host)?));
+        let hints: Vec<(String, Hint)> = rows.iter().filter_map(hint).collect();
+        let seq = rolls.roster.seq();
+        let hosts = rows.into_iter().map(|(host, row)| state::listed(host, row)).collect();
+        self.listed(Listing { seq, whole: false, hosts }, news);
+        for (host, Hint { part, shut }) in hints {
+            if let Some(host) = self.names.find(&host) {
+                self.events.push(Event::Hint { host, part, shut });
+            }
+        }
+    }
+
+    /// Probes what is not trusted yet, lets in what has come to be, and hands on what the disk does not hold.
+    pub(super) fn tend(&mut self) {
+        /// The writer's own period is no shorter than a tenth of this.
+        const HAND_ON: Duration = Duration::from_millis(500);
+        let now = (self.unix)();
+        let Some(rolls) = &mut self.rolls else { return };
+        for (name, dial) in rolls.roster.to_probe(now) {
+            let host = self.names.id(&name);
+            let entry = dial.parse().ok().map(|dial| Entry { dial, born_ms: 0.0 });
+            if entry.is_none_or(|entry| self.out.probes.try_send(Probe { host, entry }).is_err()) {
+                self.counters.probes_unsent.one();
+                rolls.roster.probed(now, &name, None);
+            }
+        }
+        if self.kept_at.elapsed() >= HAND_ON {
+            self.kept_at = Instant::now();
+            rolls.writer.keep(rolls.roster.to_keep(), rolls.roster.stand());
+        }
+        self.roll_out(ListNews::Changes, false);
+    }
+
+    /// Whether the list has another process under that name by now. Guards against gating a host that has just come, or
+    /// letting it in, for what a probe of the one before it found.
+    pub(super) fn replaced(&self, host: HostId, entry: Entry) -> bool {
+        let known = self.hosts.get(&host);
+        known.is_some_and(|known| known.entry().is_some_and(|now| now != entry))
+    }
+
+    pub(super) fn proved(&mut self, host: HostId, outcome: Outcome) {
+        let now = (self.unix)();
+        let pass = match outcome {
+            Outcome::Answered => Some(true),
+            Outcome::Full | Outcome::Unknown => None,
+            Outcome::Errored | Outcome::TimedOut | Outcome::Unreachable | Outcome::Reset => Some(false),
+        };
+        if let Some((rolls, name)) = self.rolls.as_mut().zip(self.names.name(host)) {
+            rolls.roster.probed(now, name, pass);
+        }
+    }
+
+    pub(super) fn served(&mut self, event: &Event) {
+        let now = (self.unix)();
+        if let (Some(rolls), Event::Met { host, tries, voided, .. }) = (&mut self.rolls, event) {
+            if let Some(name) = self.names.name(*host).filter(|_| tries > voided) {
+                rolls.roster.met(now, name);
+            }
+        }
+    }
+
+    pub(super) fn learnt(&mut self, host: HostId, part: Option<f64>, shut: Option<bool>) {
+        let now = (self.unix)();
+        if let Some((rolls, name)) = self.rolls.as_mut().zip(self.names.name(host)) {
+            rolls.roster.learnt(now, name, part, shut);
+        }
+    }
+
+    /// Tells the intake, where there is one, which hosts are listed.
+    pub(super) fn tell_list(&self) {
+        let Some(witness) = &self.out.witness else { return };
+        let listed = self.hosts.values().map(|known| &known.listed);
+        let named = |listed: &Listed| {
+            let (host, zone, born) = (listed.host, listed.zone, listed.born);
+            Some(NamedHost { name: self.names.name(host)?.into(), host, zone, born })
+        };
+        witness.list(listed.filter(|listed| listed.standing != Standing::Gone).filter_map(named).collect());
+    }
+
+    pub(super) fn seen(&self, host: HostId, at: f64) {
+        if let Some(witness) = &self.out.witness {
+            witness.seen(host, at);
+        }
+    }
+
+    pub(super) fn entry(&mut self, row: &Row) -> Option<Listed> {
+        let zone = ZoneId(place(&self.labels.zones, &row.site)?);
+        let kind = place(&self.labels.kinds, &row.class).unwrap_or(self.labels.kinds.len() as u16);
+        let host = self.names.id(&row.host);
+        // One clock is read by all machines; here its times become the module's. Once for each start:
+        // two clocks read twice differ by a little, and a later time would be one more start.
+        let same = self.hosts.get(&host).filter(|known| known.born_ms == row.born_ms);
+        let age = || (self.unix)() - row.born_ms;
+        let born =
+            same.map_or_else(|| (row.born_ms > 0.0).then(|| self.now() - age()), |known| known.listed.born);
+        Some(Listed {
+            host,
+            weight: row.share,
+            zone,
+            pod: PodId(row.block),
+            kind: KindId(kind),
+            born,
+            standing: match row.health {
+                Health::InService => Standing::On,
+                Health::Terminating => Standing::Draining,
+                Health::Terminated => Standing::Gone,
+            },
+        })
+    }
+
+    /// A known host that a row has in a zone nobody knows, where a policy of the fleet governs: left where it was, it
+    /// would go on serving what only that zone may. Where none governs the row is skipped like any that can't be read:
+    /// a spoilt word, alone in a good list of changes, must not take a host out of service. (A whole list without a
+    /// host that can be read has it gone either way.)
+    pub(super) fn lost(&mut self, row: &Row) -> Option<Listed> {
+        self.ward.as_ref()?;
+        let known = self.hosts.get_mut(&self.names.find(&row.host)?)?;
+        known.lost = true;
+        known.listed.standing = Standing::Gone;
+        Some(known.listed.clone())
+    }
+}
