A proxy whose reports are late is not taken for one that asks nothing

Followed again on a scratch copy, each table's users, rates and lines in the log: at 14.5 s a controller kept three proxies, 28 requests a second as told at joining, at a table with 0.375 of weight open; by the late sums its whole zone asked 80, at 16 s nothing. asked.rs, rate: a proxy of which no sum came within the span counted as asking 0. Reports of 94 proxies and 200 hosts come at 120 lines a second, so each is 7 s old and more, and while hosts are replaced many are older.

Change: where no sum of any product came within the span, what came last within the 12 s that are kept is taken, then what was told at joining.

The test fails without the change.

--- a/crates/books/src/asked.rs
+++ b/crates/books/src/asked.rs
@@ -4,7 +4,11 @@
 
 use amberarch_core::{Product, ProductId, ProxyId, ZoneId};
 
-use crate::{Node, Reach, Ring, Tally};
+use crate::ring::BUCKETS;
+use crate::{Node, Reach, Ring, Tally, BUCKET};
+
+/// As long as sums are kept at all.
+const KEPT: f64 = (BUCKETS - 1) as f64 * BUCKET;
 
 /// What came to one proxy: by late sums, until the first of them as told at joining.
 #[derive(Default)]
@@ -29,11 +33,17 @@
         self.came.len()
     }
 
-    /// Txns a second of one of so many products.
+    /// Txns a second of one of so many products. Sums that are late or lost say nothing: where none came within the
+    /// span, what came last is taken, and where all of that is too old, what was told at joining. Guards against proxies
+    /// that seem to ask nothing while reports are rare: a table of one cold host seemed to have room for three of them.
     pub fn rate(&self, now: f64, span: f64, product: ProductId, products: usize) -> f64 {
+        let heard_within = |span: f64| self.came.values().any(|ring| ring.last(now, span).over > 0.0);
+        let span = if heard_within(span) { span } else { KEPT };
+        if span == KEPT && !heard_within(span) {
+            return self.told / products as f64;
+        }
         let sum = self.came.get(&product).map(|ring| ring.last(now, span)).unwrap_or_default();
-        let told = if self.came.is_empty() { self.told / products as f64 } else { 0.0 };
-        told + 1_000.0 * sum.tries / sum.over.max(1_000.0)
+        1_000.0 * sum.tries / sum.over.max(1_000.0)
     }
 }
 
--- a/crates/books/src/ring.rs
+++ b/crates/books/src/ring.rs
@@ -45,7 +45,7 @@
 /// How finely a ring tells times apart, in ms: finer than any sum comes.
 pub const BUCKET: f64 = 500.0;
 /// Enough for 12 s, the longest look back.
-const BUCKETS: usize = 24;
+pub(crate) const BUCKETS: usize = 24;
 
 /// The last 12 s in buckets of [`BUCKET`]; what is older is overwritten as time goes on.
 /// What was asked for last stays known until something is added or the window moves: decisions between two sums ask for
--- a/crates/books/tests/books.rs
+++ b/crates/books/tests/books.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use amberarch_books::{
-    breadth, even, median, names, Fill, Plan, Present, Reach, Ring, Tally, Tbl, Told, Waiting, BUCKET,
+    breadth, even, median, names, Asked, Fill, Plan, Present, Reach, Ring, Tally, Tbl, Told, Waiting, BUCKET,
 };
 use amberarch_core::{MarkId, ProductId, Products, ProxyId, TblId, ZoneId, Zones};
 use proptest::prelude::*;
@@ -293,3 +293,22 @@
         }
     }
 }
+
+/// Guards against proxies that seem to ask nothing while reports are rare or lost: a table with one cold host seemed to have
+/// room for them, and the host fell over (`join+mass` seed 4 of the short days).
+#[test]
+fn a_proxy_whose_sums_are_late_is_not_taken_for_one_that_asks_nothing() {
+    let (first, other) = (ProductId(0), ProductId(1));
+    let mut asked = Asked::joined(ZoneId(0), 12.0);
+    let rate = |asked: &Asked, now: f64, product: ProductId| asked.rate(now, 5_000.0, product, 2);
+    assert_eq!([rate(&asked, 0.0, first), rate(&asked, 0.0, other)], [6.0, 6.0]);
+    asked.came(2_000.0, first, Tally::new(40, 0, 0.0, 2_000.0));
+    assert_eq!([rate(&asked, 3_000.0, first), rate(&asked, 3_000.0, other)], [20.0, 0.0]);
+    // Nothing within the span: what came last stands.
+    assert_eq!([rate(&asked, 9_000.0, first), rate(&asked, 9_000.0, other)], [20.0, 0.0]);
+    // A sum of one product is a word on all of them.
+    asked.came(9_500.0, other, Tally::new(10, 0, 0.0, 2_000.0));
+    assert_eq!([rate(&asked, 10_000.0, first), rate(&asked, 10_000.0, other)], [0.0, 5.0]);
+    // Too old to say anything: as told at joining.
+    assert_eq!([rate(&asked, 60_000.0, first), rate(&asked, 60_000.0, other)], [6.0, 6.0]);
+}
