--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -19,6 +19,7 @@
 pub use discovery::Asked;
 pub use governed::{Care, Ruled};
 pub use proxy::Proxy;
+pub use relay::{Message, Over, Relay};
 pub use rules::{Breach, Rule};
 pub use standing::{some_reply, standing, standing_plain};
 pub use world::{Fleet, Homes, Seen, SeenOf, World};
--- a/crates/histories/src/event.rs
+++ b/crates/histories/src/event.rs
@@ -103,6 +103,25 @@
         zone: String,
         until: u64,
     },
+    /// The controller `who` counts as told that the host is in this state.
+    ListTold {
+        host: String,
+        state: HostState,
+    },
+    /// The relay of the controller `who` failed, and time limits of its proxies are suspended until then.
+    LimitsWait {
+        until: u64,
+    },
+    /// The proxy `who` follows that controller from here on.
+    Joined {
+        controller: String,
+    },
+    /// The proxy `who` follows no controller.
+    Left,
+    /// The tables and withdrawals of the proxy `who` let it send to these hosts and no others.
+    MaySend {
+        hosts: Vec<String>,
+    },
     /// The process `who` is gone; written by the rig in its name, once it was waited for. What it held, its tables
     /// too, ends here. Any later line of that name is of a new run.
     Died,
@@ -135,6 +154,15 @@
     Unsure,
 }
 
+/// A host's state in the list of hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HostState {
+    Ready,
+    Draining,
+    Gone,
+}
+
 /// What a steward acts on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/histories/src/lib.rs
+++ b/crates/histories/src/lib.rs
@@ -14,6 +14,7 @@
 //! matter is not taken for a good one.
 
 mod answers;
+mod drains;
 mod event;
 mod everywhere;
 mod exclude;
@@ -30,6 +31,7 @@
 mod report;
 
 pub use answers::Answers;
+pub use drains::{DrainBounds, Drains};
 pub use event::*;
 pub use everywhere::Everywhere;
 pub use exclude::Exclude;
--- a/crates/histories/src/report.rs
+++ b/crates/histories/src/report.rs
@@ -31,11 +31,14 @@
     OnceOnly,
     /// Each txn has one final answer.
     Answers,
+    /// A proxy may send to a host for longer than the grace after the notice of its drain.
+    Drains,
     /// A call was written after its lease was over. Counted apart: the note says why it can't be excluded.
     Late,
 }
 
 impl Rule {
+    /// Those that [`Judge`] looks at. [`crate::Drains`] is a check of its own, with bounds of its own.
     pub const ALL: [Rule; 9] = [
         Rule::Register,
         Rule::Exclude,
@@ -58,6 +61,7 @@
             Rule::Guarantee => "guarantee",
             Rule::OnceOnly => "once only",
             Rule::Answers => "answers",
+            Rule::Drains => "drains",
             Rule::Late => "late calls",
         }
     }
@@ -200,7 +204,7 @@
 /// All checks at once over one history.
 pub struct Judge {
     events: u64,
-    kinds: [u64; 17],
+    kinds: [u64; KINDS.len()],
     register: Register,
     exclude: Exclude,
     everywhere: Everywhere,
@@ -216,7 +220,7 @@
     pub fn new(bounds: &Bounds) -> Judge {
         Judge {
             events: 0,
-            kinds: [0; 17],
+            kinds: [0; KINDS.len()],
             register: Register::default(),
             exclude: Exclude::default(),
             everywhere: Everywhere::new(bounds.everywhere),
@@ -266,7 +270,7 @@
     }
 }
 
-const KINDS: [&str; 17] = [
+const KINDS: [&str; 22] = [
     "revision",
     "proposed",
     "answered",
@@ -284,6 +288,11 @@
     "died",
     "fault",
     "healed",
+    "list_told",
+    "limits_wait",
+    "joined",
+    "left",
+    "may_send",
 ];
 
 /// The place among the kinds, and its name.
@@ -306,6 +315,11 @@
         What::Died => 14,
         What::Fault { .. } => 15,
         What::Healed => 16,
+        What::ListTold { .. } => 17,
+        What::LimitsWait { .. } => 18,
+        What::Joined { .. } => 19,
+        What::Left => 20,
+        What::MaySend { .. } => 21,
     };
     (place, KINDS[place])
 }
--- a/crates/histories/tests/cases/main.rs
+++ b/crates/histories/tests/cases/main.rs
@@ -1,5 +1,6 @@
 //! Histories made up from a seed, and ones written down by hand.
 
+mod drains;
 mod good;
 mod hand;
 mod plainly;
--- /dev/null
+++ b/crates/rig/src/drill/mod.rs
@@ -0,0 +1,216 @@
+//! A drill: one controller as a real process on loopback, beside stand-ins for discovery, its relay with the channel to
+//! the proxies, the proxies, the hosts and a collector, while the relay fails by a plan and the list changes by another.
+//! What the stand-ins saw is written down as a history (`amberarch-histories`) and judged afterwards.
+//!
+//! The channel and the proxies are those of `amberarch-emulator`; here they run in real time behind real sockets.
+
+mod collector;
+mod discovery;
+mod proxies;
+mod relay;
+mod settings;
+mod traffic;
+
+use std::cell::RefCell;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use amberarch_histories::{DrainBounds, Drains, HostState, Line, Verdict, What};
+use rustix::process::Signal;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{sleep_until, Instant};
+
+use crate::address::Block;
+use crate::hosts::Host;
+use crate::member::{seen, Member};
+use crate::pen::now_ns;
+use crate::Fault;
+
+use discovery::Discovery;
+use proxies::Proxies;
+use relay::Relay;
+pub use settings::Settings;
+use traffic::Traffic;
+
+/// A machine with other work to do may take so long to start a process.
+const START_WITHIN: Duration = Duration::from_secs(30);
+const COUNTERS_WITHIN: Duration = Duration::from_secs(5);
+
+/// A change of the list of hosts.
+#[derive(Clone, Debug)]
+pub struct ListChange {
+    /// From the start of the drill, ms.
+    pub at: u64,
+    /// Hosts by number, with their new state.
+    pub hosts: Vec<(usize, HostState)>,
+}
+
+/// What becomes of the calls that reach a silent relay.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum SilentCalls {
+    CarriedOut,
+    Lost,
+    /// One carried out and one lost in turn, the first carried out.
+    InTurn,
+}
+
+/// How a relay's silence ends for the connections that stand.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum SilenceEnds {
+    /// They are reset, and what waited on them is lost.
+    Reset,
+    /// They go on, and what waited on them comes.
+    Resume,
+}
+
+/// For that time connections to the relay come up, and nothing is said on any of them.
+#[derive(Clone, Copy, Debug)]
+pub struct Silence {
+    /// From the start of the drill, ms.
+    pub from: u64,
+    pub until: u64,
+    pub calls: SilentCalls,
+    pub ends: SilenceEnds,
+}
+
+/// For that time connections to these hosts are reset, so the controller's probes of them fail.
+#[derive(Clone, Debug)]
+pub struct Unreachable {
+    /// From the start of the drill, ms.
+    pub from: u64,
+    pub until: u64,
+    pub hosts: Vec<usize>,
+}
+
+/// What a drill plays.
+#[derive(Clone, Debug)]
+pub struct DrillPlan {
+    pub settings: Settings,
+    pub changes: Vec<ListChange>,
+    pub silences: Vec<Silence>,
+    pub unreachable: Vec<Unreachable>,
+    /// How long it lasts, ms.
+    pub lasts: u64,
+}
+
+/// What a drill left.
+pub struct Drilled {
+    pub history: Vec<Line>,
+    /// Drains by the history.
+    pub drains: Verdict,
+    /// The most lines that waited in the channel at once, and how many it may hold.
+    pub most_waiting: f64,
+    pub backlog: f64,
+    /// Limits of the channel that were passed, in words.
+    pub passed: Vec<String>,
+    /// How many orders the relay took.
+    pub orders: u64,
+    pub log: String,
+    /// Each call of orders: when it came, what the relay did with it, how many lines waited, and its orders by kind.
+    pub calls: Vec<String>,
+}
+
+/// Where the stand-ins write what they see.
+#[derive(Clone, Default)]
+pub struct Recorder(Rc<RefCell<Vec<Line>>>);
+
+impl Recorder {
+    pub fn write(&self, who: &str, what: What) {
+        self.0.borrow_mut().push(Line { at: now_ns(), who: who.into(), what });
+    }
+}
+
+/// The controller's name in histories.
+pub(crate) const CONTROLLER: &str = "controller:n0";
+
+/// Plays a drill with that program in a folder that is there.
+///
+/// # Errors
+/// The machine does not give what the drill needs, or the program does not start.
+pub fn drill(binary: &Path, plan: &DrillPlan, folder: &Path) -> Result<Drilled, Fault> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|why| Fault::Io("a runtime", why))?;
+    tokio::task::LocalSet::new().block_on(&runtime, play(binary, plan, folder))
+}
+
+async fn play(binary: &Path, plan: &DrillPlan, folder: &Path) -> Result<Drilled, Fault> {
+    let block = Block::take()?;
+    let recorder = Recorder::default();
+    let settings = &plan.settings;
+    let Hosts { all: hosts, reachable } = stand_hosts(&block, settings).await?;
+    let reachable = Rc::new(reachable);
+    let proxies = Proxies::new(settings, &hosts, recorder.clone());
+    let discovery = Discovery::stand(&block, &hosts, recorder.clone()).await?;
+    let relay = Relay::stand(&block, settings, &hosts, proxies.clone(), recorder.clone()).await?;
+    let (news, _) = watch::channel(0);
+    let member = start(binary, &block, settings, &hosts, folder, &news).await?;
+    collector::until_ready(block.listens(0)).await?;
+    let start = Instant::now();
+    relay.join_all(start);
+    let traffic = Traffic::new(settings, &hosts, proxies.clone());
+    spawn_local(collector::report(block.listens(0), settings.clone(), traffic));
+    spawn_local(relay.clone().fail(start, plan.silences.clone()));
+    for span in &plan.unreachable {
+        spawn_local(out_of_reach(start, reachable.clone(), span.clone()));
+    }
+    spawn_local(discovery.change(start, plan.changes.clone()));
+    sleep_until(start + Duration::from_millis(plan.lasts)).await;
+    // Its counters are the last line of its log.
+    member.signal(Signal::USR1);
+    seen(&news, COUNTERS_WITHIN, "the controller's counters", || member.said("counters: ").is_some()).await?;
+    let log = member.log_end(usize::MAX);
+    member.close();
+    let history = recorder.0.take();
+    let bounds = DrainBounds { grace: settings.drain_grace, slack: settings::SLACK };
+    let mut drains = Drains::new(bounds);
+    history.iter().for_each(|line| drains.feed(line));
+    let (most_waiting, passed, orders) = relay.limits();
+    let calls = relay.calls();
+    let (drains, backlog) = (drains.finish(), settings.channel.backlog);
+    Ok(Drilled { history, drains, most_waiting, backlog, passed, orders, log, calls })
+}
+
+/// The hosts, and what says of each whether it can be reached.
+struct Hosts {
+    all: Vec<Rc<Host>>,
+    reachable: Vec<watch::Sender<bool>>,
+}
+
+async fn stand_hosts(block: &Block, settings: &Settings) -> Result<Hosts, Fault> {
+    let (mut all, mut reachable) = (Vec::new(), Vec::new());
+    for number in 0..settings.hosts {
+        let zone = &settings.zones[number % settings.zones.len()];
+        let up = watch::Sender::new(true);
+        all.push(Host::stand(block, number, zone, up.subscribe()).await?);
+        reachable.push(up);
+    }
+    Ok(Hosts { all, reachable })
+}
+
+/// Takes hosts out of reach and back by that plan.
+async fn out_of_reach(start: Instant, reachable: Rc<Vec<watch::Sender<bool>>>, plan: Unreachable) {
+    for (at, up) in [(plan.from, false), (plan.until, true)] {
+        sleep_until(start + Duration::from_millis(at)).await;
+        for host in &plan.hosts {
+            reachable[*host].send_replace(up);
+        }
+    }
+}
+
+async fn start(
+    binary: &Path,
+    block: &Block,
+    settings: &Settings,
+    hosts: &[Rc<Host>],
+    folder: &Path,
+    news: &watch::Sender<u64>,
+) -> Result<Member, Fault> {
+    let member = Member::new(folder.join("n0"), "n0", binary, news.clone())?;
+    member.write("config.json", &settings.configuration(block, hosts).to_string())?;
+    member.write("operator.toml", "")?;
+    member.start()?;
+    seen(news, START_WITHIN, "the controller's start", || member.started()).await?;
+    Ok(member)
+}
--- /dev/null
+++ b/crates/rig/src/drill/proxies.rs
@@ -0,0 +1,95 @@
+//! Proxies: each holds tables and withdrawals as messages brought them, and tells where it may send.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use amberarch_core::{HostId, Order, ProductId, ProxyId, ZoneId};
+use amberarch_emulator::Proxy;
+use amberarch_histories::What;
+use rand::seq::SliceRandom;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::settings::{Settings, CLASSES};
+use super::{Recorder, CONTROLLER};
+use crate::hosts::Host;
+
+pub struct Proxies {
+    hosts: Vec<String>,
+    held: RefCell<Vec<Held>>,
+    recorder: Recorder,
+}
+
+struct Held {
+    proxy: Proxy,
+    joined: bool,
+    /// Where it may send, as told last.
+    sends_to: BTreeSet<HostId>,
+}
+
+impl Proxies {
+    pub fn new(settings: &Settings, hosts: &[Rc<Host>], recorder: Recorder) -> Rc<Proxies> {
+        let mut chance = ChaCha8Rng::seed_from_u64(settings.seed);
+        let held = (0..settings.proxies).map(|number| {
+            let zone = settings.zone_of(number);
+            let mut proxy = Proxy::new(ZoneId(zone as u16), vec![1.0; CLASSES.len()]);
+            let mut near: Vec<HostId> =
+                (0..hosts.len()).filter(|host| host % settings.zones.len() == zone).map(id).collect();
+            near.shuffle(&mut chance);
+            proxy.start_with(near.into_iter().take(settings.standing));
+            // Its standing table is none of the controller's.
+            proxy.follow_next();
+            Held { proxy, joined: false, sends_to: BTreeSet::new() }
+        });
+        let hosts = hosts.iter().map(|host| host.name.clone()).collect();
+        Rc::new(Proxies { hosts, held: RefCell::new(held.collect()), recorder })
+    }
+
+    pub fn joins(&self, number: ProxyId) {
+        self.held.borrow_mut()[usize::from(number.0)].joined = true;
+        self.recorder.write(&name(number), What::Joined { controller: CONTROLLER.into() });
+        self.tells(number);
+    }
+
+    /// A message arrives; false where the proxy follows the controller no more.
+    pub fn applies(&self, number: ProxyId, orders: &[Order]) -> bool {
+        {
+            let held = &mut self.held.borrow_mut()[usize::from(number.0)];
+            if !held.joined {
+                return false;
+            }
+            orders.iter().for_each(|order| held.proxy.hear(number, order));
+        }
+        self.tells(number);
+        true
+    }
+
+    /// The hosts that a proxy sends requests of the class to, each with its part of them.
+    pub fn shares(&self, number: ProxyId, class: ProductId) -> Vec<(HostId, f64)> {
+        let held = self.held.borrow();
+        let lines: Vec<(HostId, f64)> = held[usize::from(number.0)].proxy.open(class).collect();
+        let all: f64 = lines.iter().map(|line| line.1).sum();
+        lines.into_iter().map(|(host, weight)| (host, weight / all)).collect()
+    }
+
+    fn tells(&self, number: ProxyId) {
+        let held = &mut self.held.borrow_mut()[usize::from(number.0)];
+        let classes = (0..CLASSES.len() as u16).map(ProductId);
+        let open = |class| held.proxy.open(class).map(|line| line.0).collect::<Vec<_>>();
+        let sends_to: BTreeSet<HostId> = classes.flat_map(open).collect();
+        if sends_to != held.sends_to {
+            let hosts = sends_to.iter().map(|host| self.hosts[host.0 as usize].clone()).collect();
+            held.sends_to = sends_to;
+            self.recorder.write(&name(number), What::MaySend { hosts });
+        }
+    }
+}
+
+fn id(number: usize) -> HostId {
+    HostId(number as u32)
+}
+
+fn name(number: ProxyId) -> String {
+    format!("proxy:{}", number.0)
+}
--- /dev/null
+++ b/crates/rig/src/drill/relay.rs
@@ -0,0 +1,363 @@
+//! The relay of a drill's controller: calls go into a channel that sends so many lines a second to the proxies, and the
+//! watch tells of joins and marks; for stated spans all of it is silent towards the controller.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use amberarch_core::{HostId, MarkId, Order, ProductId, Products, ProxyId, TblId, Tries};
+use amberarch_emulator::{Message, Relay as Channel};
+use amberarch_histories::What;
+use serde_json::{json, Value};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch, Notify};
+use tokio::task::spawn_local;
+use tokio::time::{interval, sleep_until, Instant};
+
+use super::proxies::Proxies;
+use super::settings::{Settings, CLASSES};
+use super::traffic::Traffic;
+use super::{Recorder, Silence, SilenceEnds, SilentCalls, CONTROLLER};
+use crate::address::Block;
+use crate::hosts::Host;
+use crate::pen::now_ns;
+use crate::Fault;
+
+/// The protocol page: how long time limits are suspended where the relay is silent to a call, and where it breaks off the
+/// only watch.
+const CALL_SILENT: Duration = Duration::from_millis(1_500);
+const WATCH_BROKEN: Duration = Duration::from_secs(4);
+const SIGN_OF_LIFE: Duration = Duration::from_secs(1);
+/// Until the last proxy has joined.
+const JOINS_WITHIN: Duration = Duration::from_millis(500);
+
+/// What the relay is towards its controller.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Link {
+    silent: Option<SilentCalls>,
+    /// Connections of an earlier epoch are reset.
+    epoch: u32,
+}
+
+pub struct Relay {
+    settings: Settings,
+    hosts: Vec<String>,
+    channel: RefCell<Channel>,
+    proxies: Rc<Proxies>,
+    link: watch::Sender<Link>,
+    readers: RefCell<Vec<mpsc::UnboundedSender<String>>>,
+    joined: RefCell<Vec<ProxyId>>,
+    on_the_way: RefCell<VecDeque<Message>>,
+    sent: Notify,
+    start: Cell<Instant>,
+    silent_calls: Cell<u64>,
+    orders: Cell<u64>,
+    passed: RefCell<Vec<String>>,
+    calls: RefCell<Vec<String>>,
+    recorder: Recorder,
+}
+
+struct Request {
+    line: String,
+    body: Vec<u8>,
+}
+
+impl Relay {
+    /// # Errors
+    /// Its address can't be listened at.
+    pub async fn stand(
+        block: &Block,
+        settings: &Settings,
+        hosts: &[Rc<Host>],
+        proxies: Rc<Proxies>,
+        recorder: Recorder,
+    ) -> Result<Rc<Relay>, Fault> {
+        let listener = TcpListener::bind(block.relay(0)).await;
+        let listener = listener.map_err(|why| Fault::Io("a relay's address", why))?;
+        let relay = Rc::new(Relay {
+            settings: settings.clone(),
+            hosts: hosts.iter().map(|host| host.name.clone()).collect(),
+            channel: RefCell::new(Channel::new(settings.channel.clone(), CLASSES.len() as u16)),
+            proxies,
+            link: watch::Sender::new(Link { silent: None, epoch: 0 }),
+            readers: RefCell::default(),
+            joined: RefCell::default(),
+            on_the_way: RefCell::default(),
+            sent: Notify::new(),
+            start: Cell::new(Instant::now()),
+            silent_calls: Cell::new(0),
+            orders: Cell::new(0),
+            passed: RefCell::default(),
+            calls: RefCell::default(),
+            recorder,
+        });
+        spawn_local(relay.clone().accept(listener));
+        spawn_local(relay.clone().deliver());
+        Ok(relay)
+    }
+
+    /// The most lines that waited, the limits that were passed, and how many orders were taken.
+    pub fn limits(&self) -> (f64, Vec<String>, u64) {
+        (self.channel.borrow().most, self.passed.borrow().clone(), self.orders.get())
+    }
+
+    /// Each call: when it came, its orders by kind, and what the relay did with it.
+    pub fn calls(&self) -> Vec<String> {
+        self.calls.borrow().clone()
+    }
+
+    fn note_call(&self, body: &[u8], done: &str) {
+        let Ok(call) = serde_json::from_slice::<Value>(body) else { return };
+        let mut kinds = BTreeMap::<String, usize>::new();
+        let changes = call["changes"].as_array().cloned().unwrap_or_default();
+        for order in &changes {
+            let op = order["op"].as_str().unwrap_or("?");
+            let host = order["server"].as_str().filter(|_| op == "withdraw" || op == "restore").unwrap_or("");
+            *kinds.entry(format!("{op} {host}")).or_default() += 1;
+        }
+        let waits = self.channel.borrow().waits(self.now());
+        let line = format!("{:.0} ms: {done}, {waits:.0} lines wait, {kinds:?}", self.now());
+        self.calls.borrow_mut().push(line);
+    }
+
+    /// All proxies join within half a second.
+    pub fn join_all(self: &Rc<Relay>, start: Instant) {
+        let (relay, count) = (self.clone(), self.settings.proxies);
+        spawn_local(async move {
+            for number in 0..count {
+                sleep_until(start + JOINS_WITHIN * u32::from(number) / u32::from(count)).await;
+                let proxy = ProxyId(number);
+                relay.channel.borrow_mut().join(proxy);
+                relay.joined.borrow_mut().push(proxy);
+                relay.proxies.joins(proxy);
+                relay.say(relay.joins(proxy, true));
+            }
+        });
+    }
+
+    /// Is silent by that plan.
+    pub async fn fail(self: Rc<Relay>, start: Instant, silences: Vec<Silence>) {
+        for Silence { from, until, calls, ends } in silences {
+            sleep_until(start + Duration::from_millis(from)).await;
+            self.link.send_modify(|link| link.silent = Some(calls));
+            sleep_until(start + Duration::from_millis(until)).await;
+            if ends == SilenceEnds::Reset {
+                // What waited for the readers is lost with their connections.
+                self.readers.borrow_mut().clear();
+                self.suspend_limits(WATCH_BROKEN);
+            }
+            self.link.send_modify(|link| {
+                link.silent = None;
+                link.epoch += u32::from(ends == SilenceEnds::Reset);
+            });
+        }
+    }
+
+    fn suspend_limits(&self, span: Duration) {
+        let until = now_ns() + span.as_nanos() as u64;
+        self.recorder.write(CONTROLLER, What::LimitsWait { until });
+    }
+
+    fn now(&self) -> f64 {
+        self.start.get().elapsed().as_secs_f64() * 1e3
+    }
+
+    fn say(&self, line: String) {
+        self.readers.borrow_mut().retain(|reader| reader.send(line.clone()).is_ok());
+    }
+
+    fn joins(&self, proxy: ProxyId, fresh: bool) -> String {
+        let zone = &self.settings.zones[self.settings.zone_of(proxy.0)];
+        let weight = Traffic::rate(&self.settings, proxy.0);
+        let object = json!({"proxy": proxy.0, "zone": zone, "weight": weight, "fresh": fresh});
+        json!({"type": "SUBSCRIBE", "object": object}).to_string()
+    }
+
+    async fn accept(self: Rc<Relay>, listener: TcpListener) {
+        loop {
+            if let Ok((stream, _)) = listener.accept().await {
+                spawn_local(self.clone().serve(stream));
+            }
+        }
+    }
+
+    /// Serves a connection until it ends or belongs to an earlier epoch.
+    async fn serve(self: Rc<Relay>, stream: TcpStream) {
+        let mut link = self.link.subscribe();
+        let mine = link.borrow_and_update().epoch;
+        let served = async {
+            let _ = stream.set_nodelay(true);
+            let (reads, mut writes) = stream.into_split();
+            let mut reads = BufReader::new(reads);
+            while let Some(request) = read(&mut reads).await {
+                if request.line.starts_with("GET /watch") {
+                    return self.watch(writes).await;
+                }
+                if self.answer(&request, &mut writes).await.is_none() {
+                    return;
+                }
+            }
+        };
+        tokio::select! {
+            () = served => {}
+            _ = link.wait_for(|link| link.epoch != mine) => {}
+        }
+    }
+
+    /// A call; none: nothing more is said on its connection.
+    async fn answer(&self, request: &Request, writes: &mut OwnedWriteHalf) -> Option<()> {
+        let silent = self.link.borrow().silent;
+        if let Some(calls) = silent {
+            self.suspend_limits(CALL_SILENT);
+            let count = self.silent_calls.replace(self.silent_calls.get() + 1);
+            let carried_out = match calls {
+                SilentCalls::CarriedOut => true,
+                SilentCalls::Lost => false,
+                SilentCalls::InTurn => count.is_multiple_of(2),
+            };
+            self.note_call(&request.body, if carried_out { "carried out, unanswered" } else { "lost" });
+            if carried_out {
+                self.carry_out(&request.body);
+            }
+            // Silent for good: the connection stays open until its client closes it.
+            return std::future::pending().await;
+        }
+        self.note_call(&request.body, "answered");
+        let answer = self.carry_out(&request.body).to_string();
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", answer.len());
+        writes.write_all((head + &answer).as_bytes()).await.ok()
+    }
+
+    fn carry_out(&self, body: &[u8]) -> Value {
+        let Ok(call) = serde_json::from_slice::<Value>(body) else { return json!({"error": "SYNTAX"}) };
+        let changes = call["changes"].as_array().cloned().unwrap_or_default();
+        let orders: Vec<Order> = changes.iter().map_while(|order| self.read_order(order)).collect();
+        self.orders.set(self.orders.get() + orders.len() as u64);
+        let (messages, passed) = self.channel.borrow_mut().write(self.now(), &orders);
+        let now = self.now();
+        self.passed.borrow_mut().extend(passed.iter().map(|over| format!("{now:.0} ms: {over:?}")));
+        self.on_the_way.borrow_mut().extend(messages);
+        self.sent.notify_one();
+        json!({"taken": orders.len()})
+    }
+
+    /// Brings messages to the proxies when they are due; the channel sends in order.
+    async fn deliver(self: Rc<Relay>) {
+        loop {
+            let next = self.on_the_way.borrow_mut().pop_front();
+            let Some(Message { proxy, at, orders }) = next else {
+                self.sent.notified().await;
+                continue;
+            };
+            sleep_until(self.start.get() + Duration::from_secs_f64(at / 1e3)).await;
+            if !self.proxies.applies(proxy, &orders) {
+                continue;
+            }
+            for order in &orders {
+                if let Order::Mark { mark, .. } = order {
+                    let object = json!({"proxy": proxy.0, "mark": mark.0, "took_ms": 200.0});
+                    self.say(json!({"type": "ACK", "object": object}).to_string());
+                }
+            }
+        }
+    }
+
+    /// Tells what stands and then what happens, but for the time in which the relay is silent.
+    async fn watch(&self, mut writes: OwnedWriteHalf) {
+        let (to, mut from) = mpsc::unbounded_channel();
+        let mut link = self.link.subscribe();
+        if link.wait_for(|link| link.silent.is_none()).await.is_err() {
+            return;
+        }
+        for proxy in self.joined.borrow().iter() {
+            let _ = to.send(self.joins(*proxy, false));
+        }
+        self.readers.borrow_mut().push(to);
+        if writes.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n").await.is_err() {
+            return;
+        }
+        let mut signs = interval(SIGN_OF_LIFE);
+        loop {
+            let line = tokio::select! {
+                biased;
+                line = from.recv() => match line {
+                    Some(line) => line,
+                    None => return,
+                },
+                _ = signs.tick() => "{}".to_string(),
+            };
+            if link.wait_for(|link| link.silent.is_none()).await.is_err() {
+                return;
+            }
+            let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+            if writes.write_all(chunk.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn read_order(&self, order: &Value) -> Option<Order> {
+        let tbl = || match &order["table"] {
+            Value::Null => Some(TblId::ALL),
+            number => Some(TblId(number.as_u64()? as u16)),
+        };
+        let host = || {
+            let name = order["server"].as_str()?;
+            Some(HostId(self.hosts.iter().position(|host| host == name)? as u32))
+        };
+        let classes = || {
+            let named = order["routes"].as_array().cloned().unwrap_or_default();
+            let place = |name: &Value| CLASSES.iter().position(|class| name == class.0);
+            let places: Option<Vec<usize>> = named.iter().map(place).collect();
+            Some(Products(places?.iter().map(|place| Products::one(ProductId(*place as u16)).0).sum()))
+        };
+        match order["op"].as_str()? {
+            "share" => Some(Order::Share { tbl: tbl()?, host: host()?, weight: order["weight"].as_f64()? }),
+            "clear" => Some(Order::Clear { tbl: tbl()? }),
+            "bind" => {
+                let proxy = ProxyId(order["proxy"].as_u64()? as u16);
+                Some(Order::Bind { proxy, tbl: tbl()?, products: classes()? })
+            }
+            "withdraw" => Some(Order::Withdraw { host: host()?, out: true }),
+            "restore" => Some(Order::Withdraw { host: host()?, out: false }),
+            "admit" => {
+                let policies = [Tries::One, Tries::AfterProof, Tries::AfterAny, Tries::TwiceAfterAny];
+                let tries = *policies.get(order["policy"].as_u64()? as usize)?;
+                let level = order["admit"].as_f64()?;
+                Some(Order::Admit { tbl: tbl()?, products: classes()?, level, tries })
+            }
+            "mark" => {
+                let mark = MarkId(order["nonce_out"].as_u64()? as u16);
+                Some(Order::Mark { mark, everyone: order["on"] == 1 })
+            }
+            _ => None,
+        }
+    }
+}
+
+/// The next request; none: the connection ended.
+async fn read(reads: &mut BufReader<tokio::net::tcp::OwnedReadHalf>) -> Option<Request> {
+    let (mut line, mut length) = (String::new(), 0);
+    loop {
+        let mut header = String::new();
+        if reads.read_line(&mut header).await.ok()? == 0 {
+            return None;
+        }
+        let header = header.trim_end();
+        if header.is_empty() {
+            break;
+        }
+        if line.is_empty() {
+            line = header.to_string();
+        }
+        if let Some(value) = header.to_ascii_lowercase().strip_prefix("content-length:") {
+            length = value.trim().parse().ok()?;
+        }
+    }
+    let mut body = vec![0; length];
+    reads.read_exact(&mut body).await.ok()?;
+    Some(Request { line, body })
+}
--- /dev/null
+++ b/crates/rig/src/drill/settings.rs
@@ -0,0 +1,114 @@
+//! The deployment of a drill, and the configuration that its controller is given.
+
+use std::rc::Rc;
+
+use amberarch_core::Channel;
+use serde_json::{json, Value};
+
+use crate::address::Block;
+use crate::hosts::Host;
+
+/// The protocol page: on sockets, time limits of drains are so much longer, ms.
+pub const SLACK: f64 = 300.0;
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub zones: Vec<String>,
+    /// Spread over the zones in turn.
+    pub hosts: usize,
+    pub proxies: u16,
+    /// Requests a second that a proxy gets.
+    pub requests_per_s: f64,
+    pub channel: Channel,
+    /// ms
+    pub drain_grace: f64,
+    /// How many hosts a proxy's standing table names.
+    pub standing: usize,
+    /// Hosts that fail most requests and pass probes.
+    pub failing: Vec<usize>,
+    pub seed: u64,
+}
+
+/// Classes of requests: the name, the effect, and the part of all requests.
+pub const CLASSES: [(&str, &str, f64); 3] =
+    [("page", "free", 0.55), ("detail", "free", 0.25), ("submit", "single_shot", 0.2)];
+
+impl Settings {
+    /// 30 hosts in three zones, 80 proxies, and a channel that holds 2.6 s of what it sends.
+    pub fn usual(seed: u64) -> Settings {
+        let channel = Channel {
+            lines_per_s: 2_200.0,
+            head: 6.0,
+            backlog: 5_800.0,
+            messages: 30,
+            messages_over: 10_000.0,
+            transit: 207.0,
+            transit_worst: 517.5,
+        };
+        Settings {
+            zones: ["north", "middle", "south"].map(String::from).into(),
+            hosts: 30,
+            proxies: 80,
+            requests_per_s: 1.7,
+            channel,
+            drain_grace: 3_900.0,
+            standing: 5,
+            failing: vec![],
+            seed,
+        }
+    }
+
+    pub(super) fn zone_of(&self, proxy: u16) -> usize {
+        usize::from(proxy) % self.zones.len()
+    }
+
+    pub(super) fn configuration(&self, block: &Block, hosts: &[Rc<Host>]) -> Value {
+        let known: Vec<Value> = hosts.iter().map(|host| host.row()).collect();
+        json!({
+            "name": "n0",
+            "listen": block.listens(0).to_string(),
+            "discovery": block.discovery().to_string(),
+            "relay": {"address": block.relay(0).to_string()},
+            "seed": format!("{:016x}", self.seed),
+            "limits": {"cores": 0.2, "memory_mb": 48, "sockets": 384},
+            "known": {"seq": super::discovery::FIRST_VERSION, "whole": true, "hosts": known},
+            "settings": self.settings(),
+        })
+    }
+
+    fn settings(&self) -> Value {
+        let class = |(name, effect, _): &(&str, &str, f64)| {
+            json!({"name": name, "effect": effect, "keyScope": "all", "goalTime": ns(800.0), "deadline": ns(2_500.0),
+                "window": ns(5_000.0), "points": 1.0, "lateWorth": 0.1})
+        };
+        let classes: Vec<Value> = CLASSES.iter().map(class).collect();
+        let none = vec![false; CLASSES.len()];
+        let channel = &self.channel;
+        json!({
+            "az": 0,
+            "balancers": 3,
+            "dcs": self.zones,
+            "kinds": ["plain"],
+            "discovery": "on_request",
+            "classes": classes,
+            "familyInfo": {
+                "agents": 3 * u32::from(self.proxies), "bootstrap": self.standing, "shards": 0, "zonal": false,
+                "classOwnZone": none, "classWrites": none, "defaultRetry": 0, "tryFactor": 0.8, "levelKind": "off",
+                "emptyFor": ns(6_800.0), "egressPerS": channel.lines_per_s, "backlog": channel.backlog,
+                "overhead": channel.head, "reloadsMax": channel.messages, "messagesOver": ns(channel.messages_over),
+                "propagation": ns(channel.transit), "worstTransit": ns(channel.transit_worst),
+                "reportEvery": ns(2_000.0), "reportsPerS": 120.0,
+            },
+            "loadInfo": {"how": "off", "columns": []},
+            "policyLimits": {"connectTimeout": ns(250.0), "mayProbe": true},
+            "rules": {
+                "askWithin": ns(10_000.0), "drainGrace": ns(self.drain_grace), "coldFrom": 0.17,
+                "warmWithin": ns(17_000.0), "fallMultiple": 4.0, "overloadFor": ns(2_000.0),
+            },
+        })
+    }
+}
+
+fn ns(ms: f64) -> u64 {
+    (ms * 1e6) as u64
+}
--- /dev/null
+++ b/crates/rig/src/drill/traffic.rs
@@ -0,0 +1,107 @@
+//! What proxies are asked for and what they meet at hosts, as means: no request is played. Enough to have the controller
+//! learn speeds, move proxies between tables and gate hosts that fail.
+
+use std::rc::Rc;
+
+use amberarch_core::{ProductId, ProxyId};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::proxies::Proxies;
+use super::settings::{Settings, CLASSES};
+use crate::hosts::Host;
+
+/// Time that a request takes at a host of speed 1 that does nothing else, ms.
+const WORK: f64 = 180.0;
+/// Other controllers' proxies bring as much again, so many times.
+const ALL_CONTROLLERS: f64 = 3.0;
+/// Where load is written as a part of capacity, no queue is taken to be fuller.
+const FULL: f64 = 0.95;
+
+/// Keeps the draws of rates apart from those of all else.
+const RATES: u64 = 0x7aff1c;
+
+/// Over one period, what the proxies of a zone met at a host.
+pub struct Met {
+    pub zone: String,
+    pub host: String,
+    pub tries: u32,
+    pub failed: u32,
+    pub mean_ms: f64,
+}
+
+/// Over one period, what a proxy was asked for of a class.
+pub struct Came {
+    pub proxy: u16,
+    pub class: &'static str,
+    pub tries: u32,
+}
+
+pub struct Traffic {
+    settings: Settings,
+    hosts: Vec<Rc<Host>>,
+    proxies: Rc<Proxies>,
+    /// Requests a second, by proxy.
+    rates: Vec<f64>,
+    /// By host.
+    speeds: Vec<f64>,
+    failing: Vec<bool>,
+    chance: ChaCha8Rng,
+}
+
+impl Traffic {
+    pub fn new(settings: &Settings, hosts: &[Rc<Host>], proxies: Rc<Proxies>) -> Traffic {
+        let mut chance = ChaCha8Rng::seed_from_u64(settings.seed);
+        let rates = Traffic::rates(settings);
+        let speeds = hosts.iter().map(|_| chance.random_range(0.8..1.7)).collect();
+        let failing = (0..hosts.len()).map(|host| settings.failing.contains(&host)).collect();
+        Traffic { settings: settings.clone(), hosts: hosts.to_vec(), proxies, rates, speeds, failing, chance }
+    }
+
+    fn rates(settings: &Settings) -> Vec<f64> {
+        let mut chance = ChaCha8Rng::seed_from_u64(settings.seed ^ RATES);
+        let rate = |_| settings.requests_per_s * chance.random_range(0.3f64..1.8);
+        (0..settings.proxies).map(rate).collect()
+    }
+
+    /// Requests a second that come to a proxy.
+    pub fn rate(settings: &Settings, proxy: u16) -> f64 {
+        Traffic::rates(settings)[usize::from(proxy)]
+    }
+
+    fn varied(&mut self, mean: f64) -> f64 {
+        mean * self.chance.random_range(0.7..1.3)
+    }
+
+    /// What is reported of so many seconds.
+    pub fn reports(&mut self, seconds: f64) -> (Vec<Met>, Vec<Came>) {
+        let zones = self.settings.zones.len();
+        let mut tries = vec![vec![0.0; self.hosts.len()]; zones];
+        let mut came = Vec::new();
+        for proxy in 0..self.settings.proxies {
+            let zone = self.settings.zone_of(proxy);
+            for (place, (class, _, part)) in CLASSES.iter().enumerate() {
+                let asked = self.varied(self.rates[usize::from(proxy)] * part * seconds);
+                came.push(Came { proxy, class, tries: asked.round() as u32 });
+                for (host, share) in self.proxies.shares(ProxyId(proxy), ProductId(place as u16)) {
+                    tries[zone][host.0 as usize] += asked * share;
+                }
+            }
+        }
+        let mut met = Vec::new();
+        for host in 0..self.hosts.len() {
+            let all: f64 = tries.iter().map(|by_host| by_host[host]).sum();
+            let capacity = 4.0 * self.speeds[host] * 1_000.0 / WORK * seconds;
+            let used = (ALL_CONTROLLERS * all / capacity).min(FULL);
+            let mean = WORK / self.speeds[host] / (1.0 - used);
+            for (zone, by_host) in tries.iter().enumerate().filter(|(_, by_host)| by_host[host] >= 0.5) {
+                let tries = by_host[host].round() as u32;
+                let failed = if self.failing[host] { (0.6 * by_host[host]).round() as u32 } else { 0 };
+                let mean_ms = mean * self.chance.random_range(0.85..1.15);
+                let (zone, host) = (self.settings.zones[zone].clone(), self.hosts[host].name.clone());
+                met.push(Met { zone, host, tries, failed, mean_ms });
+            }
+        }
+        (met, came)
+    }
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,6 +5,7 @@
 //! good: the checker does.
 
 mod address;
+pub mod drill;
 mod faults;
 mod hosts;
 mod member;
