An unsure call is repeated once the relay answers, not at each attempt

Cause: while a relay is silent the whole call went again at each attempt; each copy may be carried out, so each was counted as lines that wait, and after the gap in the news nothing was sent for 10.7 s while the channel was empty. Lines: relay.rs, the Unsure arm of run.

Change: the call waits for an inquiry that is answered (a call without orders, which writes to no proxy), at 0.3 to 1 s or as soon as the watch says something; an answer to the call's own mark ends it without a repeat. Only replies that are really sent in two parts are told of as a further message: behind a call that was full all replies were, also those that had gone whole.

--- a/crates/steward/src/counters.rs
+++ b/crates/steward/src/counters.rs
@@ -32,7 +32,7 @@
     connections connections_joined connections_refused connections_shed accepts_failed collectors_closed
     lines_taken lines_skipped pings
     batches events orders replies replies_lost timers panics
-    calls messages_again calls_busy calls_refused calls_unsure calls_not_sent orders_skipped
+    calls messages_again calls_busy calls_refused calls_unsure calls_not_sent calls_proven inquiries orders_skipped
     watches news_lines news_skipped signs joined left applied
     list_asks list_answers list_failures list_skipped list_asks_lost
     probes probes_passed probes_failed probes_merged probes_unsent
--- a/crates/steward/src/heard.rs
+++ b/crates/steward/src/heard.rs
@@ -18,6 +18,7 @@
 use crate::counters::Counters;
 use crate::fleet::Holds;
 use crate::lines::Said;
+use crate::relay::RelaySigns;
 
 /// What the other tasks bring.
 #[derive(Debug)]
@@ -78,6 +79,8 @@
 pub struct Ties {
     pub desk: mpsc::Sender<Heard>,
     pub counters: Rc<Counters>,
+    /// What the watch shows of the relay, for the calls.
+    pub signs: Rc<RelaySigns>,
     pub log: Logger,
 }
 
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -212,7 +212,7 @@
     if let Some(keeper) = keeper {
         the_desk = the_desk.guarded(keeper);
     }
-    let ties = Ties { desk, counters: counters.clone(), log: log.clone() };
+    let ties = Ties { desk, counters: counters.clone(), signs: Rc::default(), log: log.clone() };
     let (mut front, mut gate) = (None, Rc::default());
     if let Some(fleet) = fleet {
         the_desk = the_desk.governed(fleet.ward);
--- a/crates/steward/src/news.rs
+++ b/crates/steward/src/news.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use amberarch_core::MarkId;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -12,7 +13,7 @@
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 use crate::counters::Seldom;
-use crate::heard::{Heard, Ties};
+use crate::heard::{Heard, News, Ties};
 use crate::http::{get, limited, Dial, Fault, Line, Whereabouts};
 use crate::spread::Spread;
 
@@ -190,13 +191,19 @@
 
     /// False where the line was a sign of life.
     async fn pass_on(&self, line: &[u8]) -> bool {
+        self.ties.signs.spoke();
         if line.trim_ascii() == b"{}" {
             self.ties.counters.signs.one();
             return false;
         }
         self.ties.counters.news_lines.one();
         match serde_json::from_slice(line) {
-            Ok(news) => self.tell(Heard::News(news)).await,
+            Ok(news) => {
+                if let News::Applied { mark, .. } = &news {
+                    self.ties.signs.applied(MarkId(*mark));
+                }
+                self.tell(Heard::News(news)).await;
+            }
             Err(error) => {
                 self.ties.counters.news_skipped.one();
                 if let Some(hidden) = self.skipped.pass() {
@@ -245,6 +252,7 @@
             return Err(Fault::Unsure(format!("the watch was answered with {}", answer.status())));
         }
         self.ties.counters.watches.one();
+        self.ties.signs.spoke();
         self.ready.send_replace(true);
         Ok(Watch { at, body: answer.into_body(), unread: BytesMut::new(), searched: 0, _line: line })
     }
--- a/crates/steward/src/relay.rs
+++ b/crates/steward/src/relay/mod.rs
@@ -1,35 +1,42 @@
 //! Calls to the relay, one at a time and strictly in order.
 
-use std::cell::Cell;
+mod fence;
+mod queue;
+mod signs;
+
 use std::collections::VecDeque;
-use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use amberarch_core::{MarkId, Order, ProxyId};
-use amberarch_fleet::{machine_ns, Fence, History};
 use bytes::Bytes;
 use serde::Deserialize;
 use slog::warn;
 use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::counters::Seldom;
 use crate::heard::{Encoded, Heard, Reply, Ruled, Ties};
-use crate::http::{post, Dial, Fault, Kept, Watch, Watched};
+use crate::http::{post, Dial, Fault, Kept};
 use crate::spread::Spread;
 
+pub use fence::{Gate, Gated};
+use queue::Queue;
+pub use signs::RelaySigns;
+
 /// The protocol page: an answer comes within 50 ms or never. Between attempts as long is waited.
 const ANSWER: Duration = Duration::from_millis(50);
-/// The protocol page: a call carries at most 60,000 bytes of orders.
-const MOST_BYTES: usize = 60_000;
+/// A call that orders nothing: it writes to no proxy.
+const NO_ORDERS: &[u8] = b"{\"changes\":[]}";
 
 /// The protocol page: time limits wait 0.5 s where the relay breaks a call, 1.5 s where it falls silent or
 /// can't be read. So long a repeat can wait, that what the first may have put into the channel leaves.
 const AGAIN: Duration = Duration::from_millis(500);
 const AGAIN_MOST: Duration = Duration::from_millis(1_500);
+/// Between inquiries, at first and at the most: below what time limits wait for a call that nobody answers, and few enough
+/// that a relay which holds 32 connections of a controller has room for those that a silence of 20 s leaves.
+const INQUIRY: Duration = Duration::from_millis(300);
+const INQUIRY_MOST: Duration = Duration::from_millis(1_000);
 
 /// What a call is answered; what has another type, or says neither, can't be read.
 #[derive(Deserialize)]
@@ -51,53 +58,40 @@
     Syntax,
 }
 
-/// Looks at what holds directly before each write, so that what was decided under a lease that is over, or under an
-/// older stage, does not leave. Without a fleet all may go out.
-#[derive(Default)]
-pub struct Gate {
-    fence: Option<Arc<Fence>>,
-    history: Option<Arc<History>>,
-    ruled: Cell<Ruled>,
+/// What came of a step towards the end of an unsure call.
+enum Settled {
+    /// Nothing is known yet.
+    Open,
+    /// The relay answers: the call goes again.
+    Repeat,
+    /// A proxy answered the call's mark.
+    CarriedOut,
 }
 
-impl Gate {
-    pub fn new(fence: Arc<Fence>, history: Option<Arc<History>>) -> Gate {
-        Gate { fence: Some(fence), history, ..Gate::default() }
-    }
-
-    fn open(&self) -> bool {
-        self.fence.as_ref().is_none_or(|fence| fence.open(self.ruled.get().under))
-    }
+/// The pace of attempts while no call is answered.
+struct Repeats {
+    /// What the next repeat waits for before the relay is asked whether it answers.
+    pause: Option<Duration>,
+    next_pause: Duration,
+    inquiry: Duration,
 }
 
-impl Watch for Rc<Gate> {
-    /// When the write began, where a history is kept.
-    type Look = Option<u64>;
-    fn look(&self) -> io::Result<Option<u64>> {
-        let began = self.history.is_some().then(machine_ns);
-        match self.open() {
-            true => Ok(began),
-            false => Err(io::Error::other("what it was decided under holds no more")),
-        }
-    }
-    fn wrote(&self, began: Option<u64>, _: usize) {
-        let stage = self.ruled.get().stage;
-        if let Some(((history, stage), began)) = self.history.as_ref().zip(stage).zip(began) {
-            history.wrote(stage, began);
-        }
+impl Default for Repeats {
+    fn default() -> Repeats {
+        Repeats { pause: None, next_pause: AGAIN, inquiry: INQUIRY }
     }
 }
 
-/// Connections whose every write goes through the gate.
-pub struct Gated<D> {
-    pub dial: D,
-    pub gate: Rc<Gate>,
-}
+impl Repeats {
+    fn failed(&mut self) {
+        self.pause = Some(self.next_pause);
+        self.next_pause = AGAIN_MOST.min(2 * self.next_pause);
+        self.inquiry = INQUIRY;
+    }
 
-impl<D: Dial> Dial for Gated<D> {
-    type Stream = Watched<D::Stream, Rc<Gate>>;
-    async fn dial(&self, to: SocketAddr) -> io::Result<Self::Stream> {
-        Ok(Watched { stream: self.dial.dial(to).await?, watch: self.gate.clone() })
+    fn next_inquiry(&mut self) -> Duration {
+        let next = INQUIRY_MOST.min(self.inquiry.mul_f64(1.5));
+        std::mem::replace(&mut self.inquiry, next)
     }
 }
 
@@ -114,7 +108,8 @@
     /// messages than the module counted, so what piled up while the relay was out of reach breaks no
     /// limit when it leaves at once. Ahead of it the desk hears which replies go together, since a proxy's answer
     /// to a mark then says nothing of the other proxies' messages. An unsure call is repeated whole before anything later: orders set
-    /// states, so a call that is carried out twice leaves what it left the first time. An answer may be
+    /// states, so a call that is carried out twice leaves what it left the first time. It is repeated once the relay
+    /// answers an inquiry, and not at all where a proxy answers its mark. An answer may be
     /// spoilt: what it refuses is offered once more before it is given up, and the desk is told of that.
     ///
     /// With a fleet, what waits and was decided under what holds no more is dropped, and with it all that the same
@@ -125,7 +120,7 @@
         let seldom = Seldom::default();
         while let Some(reply) = replies.recv().await {
             self.take(&mut queue, reply).await;
-            let mut pause = AGAIN;
+            let mut repeats = Repeats::default();
             while !queue.waiting.is_empty() {
                 while let Ok(reply) = replies.try_recv() {
                     self.take(&mut queue, reply).await;
@@ -134,30 +129,39 @@
                     self.drop_waiting(&mut queue).await;
                     break;
                 }
-                let Queue { waiting, marks, .. } = &mut queue;
-                let count = fitting(waiting);
+                if let Some(count) = queue.unsure {
+                    match self.settle(&mut repeats).await {
+                        Settled::Open => {}
+                        Settled::CarriedOut => {
+                            self.ties.counters.calls_proven.one();
+                            self.carried_out(&mut queue, count).await;
+                        }
+                        Settled::Repeat => {
+                            self.again(&queue.marks(count)).await;
+                            queue.unsure = None;
+                        }
+                    }
+                    continue;
+                }
+                let count = queue.fitting();
                 let together: Vec<MarkId> =
-                    waiting.iter().take(count).filter_map(|order| order.mark).collect();
+                    queue.waiting.iter().take(count).filter_map(|order| order.mark).collect();
                 if together.len() > 1 {
                     drop(self.ties.desk.send(Heard::Together { marks: together }).await);
                 }
-                let fault = match self.call(waiting, count).await {
+                self.ties.signs.await_mark(queue.proof(count));
+                let fault = match self.call(&queue.waiting, count).await {
                     Ok(()) => {
                         refused = false;
-                        waiting.drain(..count);
-                        self.again(marks, !waiting.is_empty()).await;
-                        let place = self.gate.ruled.get().place;
-                        if waiting.is_empty() && place > 0 {
-                            drop(self.ties.desk.send(Heard::Answered { place }).await);
-                        }
+                        self.carried_out(&mut queue, count).await;
                         continue;
                     }
                     Err(fault) => fault,
                 };
                 if let Some(hidden) = seldom.pass() {
                     let at = match fault {
-                        CallFault::RefusedAfter(taken) => waiting.get(taken),
-                        CallFault::Syntax => waiting.front(),
+                        CallFault::RefusedAfter(taken) => queue.waiting.get(taken),
+                        CallFault::Syntax => queue.waiting.front(),
                         _ => None,
                     };
                     let at = at.map(|order| String::from_utf8_lossy(&order.bytes));
@@ -167,19 +171,19 @@
                 match fault {
                     CallFault::RefusedAfter(taken) => {
                         self.ties.counters.calls_refused.one();
-                        waiting.drain(..taken);
+                        queue.taken(taken);
                         // Refused twice, each time as the first of what was left.
                         refused = !(refused && taken == 0);
                         if !refused {
-                            self.give_up(waiting.drain(..1)).await;
+                            self.give_up(queue.given_up(1)).await;
                         }
-                        self.again(marks, !waiting.is_empty()).await;
+                        self.again(queue.straddling().as_slice()).await;
                     }
                     CallFault::Syntax => {
                         self.ties.counters.calls_refused.one();
                         refused = !refused;
                         if !refused {
-                            self.give_up(waiting.drain(..count)).await;
+                            self.give_up(queue.given_up(count)).await;
                         }
                         sleep(ANSWER).await;
                     }
@@ -193,19 +197,65 @@
                     }
                     CallFault::Road(Fault::Unsure(_) | Fault::CutOff(_) | Fault::Silent(_)) => {
                         self.ties.counters.calls_unsure.one();
-                        sleep(self.spread.of(pause)).await;
-                        pause = AGAIN_MOST.min(2 * pause);
-                        self.again(marks, true).await;
+                        queue.unsure = Some(count);
+                        repeats.failed();
                     }
                 }
             }
-            queue.marks.clear();
         }
     }
 
+    /// The first orders were carried out.
+    async fn carried_out(&self, queue: &mut Queue, count: usize) {
+        queue.unsure = None;
+        queue.taken(count);
+        self.again(queue.straddling().as_slice()).await;
+        let place = self.gate.ruled.get().place;
+        if queue.waiting.is_empty() && place > 0 {
+            drop(self.ties.desk.send(Heard::Answered { place }).await);
+        }
+    }
+
+    /// One step towards knowing what to do about an unsure call: the pause before its repeat, or an inquiry whether the relay
+    /// answers at all. Guards against a copy of the call for each attempt while the relay is silent: each may be carried
+    /// out, so each counts as lines that wait, and drains stood behind them for ten seconds after the relay was back.
+    async fn settle(&mut self, repeats: &mut Repeats) -> Settled {
+        let signs = self.ties.signs.clone();
+        let inquired = async {
+            if let Some(pause) = repeats.pause.take() {
+                sleep(self.spread.of(pause)).await;
+            }
+            let asked = Instant::now();
+            let wait = match self.inquire().await {
+                Ok(()) => return Settled::Repeat,
+                // Nothing of it is left at the relay.
+                Err(Fault::NotSent(_)) => ANSWER,
+                Err(_) => repeats.next_inquiry(),
+            };
+            let wait = self.spread.of(wait);
+            tokio::select! {
+                () = sleep_until(asked + wait) => {}
+                () = signs.speaks() => sleep_until(asked + ANSWER).await,
+            }
+            Settled::Open
+        };
+        tokio::select! {
+            biased;
+            () = signs.mark_answered() => Settled::CarriedOut,
+            settled = inquired => settled,
+        }
+    }
+
+    /// Sends a call that orders nothing; the relay answers it, whatever it says.
+    async fn inquire(&mut self) -> Result<(), Fault> {
+        self.ties.counters.inquiries.one();
+        let request = |to| post("/txn", to, Bytes::from_static(NO_ORDERS));
+        self.line.exchange(request, ANSWER).await.map(drop)
+    }
+
     /// One more reply. What waits and was decided under something else can't be written any more.
     async fn take(&self, queue: &mut Queue, reply: Reply) {
-        let Reply { orders, mark, ruled } = reply;
+        let Reply { orders, ruled, .. } = reply;
         if !queue.waiting.is_empty() && self.gate.ruled.get().under != ruled.under {
             self.drop_waiting(queue).await;
         }
@@ -214,15 +264,13 @@
         }
         self.gate.ruled.set(ruled);
         queue.waiting.extend(orders);
-        queue.marks.extend(mark);
     }
 
     async fn drop_waiting(&self, queue: &mut Queue) {
         let ruled = self.gate.ruled.get();
         queue.over = queue.over.max(Some(ruled.life));
-        queue.marks.clear();
         self.ties.counters.fenced_calls.one();
-        self.fenced(ruled, queue.waiting.drain(..)).await;
+        self.fenced(ruled, queue.dropped().into_iter()).await;
     }
 
     /// Tells of what is not written, and then that nothing up to there will be: where no proxy is left to answer a
@@ -238,15 +286,15 @@
     }
 
     /// Tells of a further message to the proxies of these replies: a repeat, or the rest of a reply.
-    async fn again(&self, marks: &[MarkId], needed: bool) {
-        for mark in marks.iter().filter(|_| needed) {
+    async fn again(&self, marks: &[MarkId]) {
+        for mark in marks {
             self.ties.counters.messages_again.one();
             drop(self.ties.desk.send(Heard::Again { mark: *mark }).await);
         }
     }
 
     /// Tells of orders that are not carried out: otherwise the module goes on as if they had been.
-    async fn give_up(&self, orders: impl Iterator<Item = Encoded>) {
+    async fn give_up(&self, orders: Vec<Encoded>) {
         let mut told: Vec<(Option<ProxyId>, Vec<Order>)> = Vec::new();
         for Encoded { binds, order, .. } in orders {
             self.ties.counters.orders_skipped.one();
@@ -286,22 +334,3 @@
         }
     }
 }
-
-/// What waits.
-#[derive(Default)]
-struct Queue {
-    waiting: VecDeque<Encoded>,
-    marks: Vec<MarkId>,
-    /// The last start of the decisions of which something was dropped; the desk starts them anew.
-    over: Option<u64>,
-}
-
-/// How many of the orders fit into one call; one always does.
-fn fitting(orders: &VecDeque<Encoded>) -> usize {
-    let mut bytes = 20;
-    let sizes = orders.iter().map(|order| {
-        bytes += order.bytes.len() + 1;
-        bytes
-    });
-    sizes.take_while(|sum| *sum <= MOST_BYTES).count().max(1)
-}
