A stalled account is ended by a probe; withdrawals keep their place in the channel

A withdrawal that finds no room was overtaken by binds for as long as any waited, as each of them is smaller. After a gap in the news the messages that proxies had been written were forgotten, also where they had stayed.

Change: crates/policy/src/stall.rs says when one proxy is bound, anew where it is, though nothing fits; its answer ends the account. Withdrawals that find no room keep it. Messages count on for who joins again in the same moment and is not fresh.

--- a/crates/books/src/waiting.rs
+++ b/crates/books/src/waiting.rs
@@ -29,6 +29,8 @@
     marks: u16,
     /// Each reply that writes to a proxy is one message to it.
     messages: BTreeMap<ProxyId, Ring>,
+    /// Messages to proxies that left a moment ago.
+    left_now: BTreeMap<ProxyId, Ring>,
 }
 
 impl Waiting {
@@ -79,13 +81,14 @@
         self.sent.insert(place, copy);
     }
 
-    /// The proxy has applied all up to the mark. A mark that is not known says nothing.
-    pub fn answered(&mut self, proxy: ProxyId, mark: MarkId) {
-        let Some(place) = self.sent.iter().position(|sent| sent.mark == mark) else { return };
+    /// The proxy has applied all up to the mark. False: the mark is not known and says nothing.
+    pub fn answered(&mut self, proxy: ProxyId, mark: MarkId) -> bool {
+        let Some(place) = self.sent.iter().position(|sent| sent.mark == mark) else { return false };
         self.sent.drain(..place);
         for copy in self.sent.iter_mut().take_while(|sent| sent.mark == mark) {
             copy.lines.remove(&proxy);
         }
+        true
     }
 
     /// Of the lines that waited for proxies that left, so many more have surely gone, the earliest first.
@@ -97,8 +100,21 @@
         self.sent.retain(|sent| sent.lost > 0.0 || !sent.lines.is_empty());
     }
 
+    /// The proxy joins, or goes on after a gap in the news in which it may have left and joined again. Messages that it was
+    /// written until a moment ago count on, unless it began anew. Guards the limit of messages to a proxy that was there
+    /// all the time.
+    pub fn joined(&mut self, proxy: ProxyId, fresh: bool) {
+        let before = self.left_now.remove(&proxy).filter(|_| !fresh);
+        self.messages.extend(before.map(|ring| (proxy, ring)));
+    }
+
+    /// Who left up to now and has not joined again has left for good.
+    pub fn settle_departures(&mut self) {
+        self.left_now.clear();
+    }
+
     pub fn left(&mut self, proxy: ProxyId) {
-        self.messages.remove(&proxy);
+        self.left_now.extend(self.messages.remove(&proxy).map(|ring| (proxy, ring)));
         for sent in &mut self.sent {
             sent.lost += sent.lines.remove(&proxy).unwrap_or(0.0);
         }
--- a/crates/policy/src/hear.rs
+++ b/crates/policy/src/hear.rs
@@ -15,6 +15,7 @@
             Event::List { news, entries } => self.learn(now, *news, entries),
             Event::Joined { proxy, zone, txns_per_s: rate, fresh } => {
                 self.left(*proxy);
+                self.waiting.joined(*proxy, *fresh);
                 self.proxies.insert(*proxy, Proxy::joined(*zone, *rate, *fresh));
             }
             Event::Left { proxy } => self.left(*proxy),
@@ -51,7 +52,10 @@
             }
             Event::Reach { zone, product, zones } => self.urgent |= self.told.tell(*zone, *product, *zones),
             Event::Await { on } => self.awaits = *on,
-            Event::Applied { proxy, mark, .. } => self.waiting.answered(*proxy, *mark),
+            Event::Applied { proxy, mark, .. } => {
+                let known = self.waiting.answered(*proxy, *mark);
+                known.then(|| self.stall.answered(now));
+            }
             Event::Together { first, last } => self.waiting.together(*first, *last),
             Event::Again { mark } => self.waiting.again(now, *mark),
             _ => {}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,9 +12,10 @@
 mod plan;
 mod publish;
 mod seats;
+mod stall;
 
 pub use parts::{BESIDE, FULL_LOAD};
-use {health::*, levels::*, parts::*, plan::*, seats::*};
+use {health::*, levels::*, parts::*, plan::*, seats::*, stall::*};
 
 pub struct Steward {
     post: Post,
@@ -28,6 +29,9 @@
     ask_at: f64,
     channel: Channel,
     waiting: Waiting,
+    stall: Stall,
+    /// A withdrawal waits for room in the channel.
+    held_up: bool,
     hosts: BTreeMap<HostId, Host>,
     proxies: BTreeMap<ProxyId, Proxy>,
     told: Told,
@@ -57,6 +61,7 @@
     fn decide(&mut self, now: f64, events: &[Event]) -> Vec<Order> {
         let mut out = Vec::new();
         events.iter().for_each(|event| self.hear(now, event));
+        self.waiting.settle_departures();
         let due = std::mem::take(&mut self.fresh) || events.iter().any(|e| matches!(e, Event::Due { .. }));
         out.extend(due.then_some(Order::Timer { after: TICK, timer: TimerId(0) }));
         // Where the list must be asked it is watched; after a failure asked again, ever more rarely.
@@ -86,6 +91,7 @@
         let (told, present) = (Told::new(&products, post.zones), Present::new(post.zones));
         Steward {
             post, products, sla, sidecars, warmup, sums, channel, roster, waiting: Waiting::default(),
+            stall: Stall::default(), held_up: false,
             cover: 0.0, best: 0.0, room: 0.0, failures: 0, ask_at: f64::MIN, spill: BTreeMap::new(), told,
             present, fresh: true, urgent: false, levels: BTreeMap::new(), kinds: BTreeMap::new(),
             hosts: BTreeMap::new(), proxies: BTreeMap::new(), usual_voided: 0.0, bounds: BTreeMap::new(),
--- a/crates/policy/src/publish.rs
+++ b/crates/policy/src/publish.rs
@@ -10,6 +10,9 @@
 const BACK: (f64, f64, f64, f64) = (0.85, 0.83, 1.25, f64::MAX);
 const ROUTINE: (f64, f64, f64, f64) = (0.5, 0.67, 1.0, 1.5);
 
+/// A message that goes whatever counts as waiting; its size is bounded where it is sent.
+const PROBE: (f64, f64, f64, f64) = (f64::MAX, 0.97, f64::MAX, f64::MAX);
+
 struct Reply<'a> {
     now: f64,
     steward: &'a Steward,
@@ -19,6 +22,10 @@
     lines: BTreeMap<ProxyId, f64>,
     waiting: f64,
     leaving: bool,
+    /// Withdrawals that have to wait.
+    held_up: usize,
+    /// Something found no room in the channel.
+    refused: bool,
     orders: Vec<Order>,
 }
 
@@ -27,25 +34,47 @@
         let (present, waiting) = (std::mem::take(&mut self.present), self.waiting.lines());
         let (passed, lines, orders) = (BTreeSet::new(), BTreeMap::new(), Vec::new());
         let leaving = self.hosts.values().any(|host| host.standing != Standing::On);
-        let mut reply = Reply { now, steward: self, present, passed, lines, waiting, leaving, orders };
+        let (held_up, refused) = (0, false);
+        #[rustfmt::skip]
+        let mut reply =
+            Reply { now, steward: self, present, passed, lines, waiting, leaving, held_up, refused, orders };
         reply.withdraw(&wanted);
         reply.narrow(&wanted);
         reply.fill_tables(ROUTINE, &wanted);
         let back = reply.let_in(&wanted);
         reply.set_levels(ROUTINE, &wanted);
         reply.bind(ROUTINE, &wanted);
+        let probed = reply.probe(&wanted);
         let gone = reply.forget(&wanted);
         out.append(&mut reply.orders);
-        let Reply { present, lines, .. } = reply;
+        let Reply { present, lines, held_up, .. } = reply;
         self.present = present;
+        if let Some(lines) = probed {
+            self.stall.probed(lines);
+        }
+        self.tell_held_up(held_up, waiting, out);
         let back = self.hosts.iter_mut().filter(|(id, _)| back.contains(id));
         back.for_each(|(_, host)| host.let_in_at = now);
         self.hosts.retain(|id, _| !gone.contains(id));
         if !lines.is_empty() {
+            self.stall.wrote(now);
             out.push(Order::Mark { mark: self.waiting.wrote(now, lines), everyone: false });
         }
     }
 
+    /// Says when withdrawals begin to wait for room in the channel, and when they do not any more.
+    fn tell_held_up(&mut self, held_up: usize, waiting: f64, out: &mut Vec<Order>) {
+        let before = std::mem::replace(&mut self.held_up, held_up > 0);
+        let text = match (before, self.held_up) {
+            (false, true) => {
+                format!("{held_up} withdrawals wait for the channel, in which {waiting:.0} lines may wait")
+            }
+            (true, false) => "no withdrawal waits for the channel any more".to_string(),
+            _ => return,
+        };
+        out.push(Order::Log { text });
+    }
+
     /// No governed product may use the table while it names the host.
     fn outside(&self, tbl: &Tbl, host: &HostId) -> bool {
         self.hosts.get(host).is_some_and(|host| self.told.outside(tbl, host.zone))
@@ -53,17 +82,25 @@
 }
 
 impl Reply<'_> {
+    /// What `each` lines to each of `whom` add to the channel.
+    fn cost(&self, whom: &[ProxyId], each: f64) -> f64 {
+        let fresh = whom.iter().filter(|id| !self.lines.contains_key(id)).count();
+        each * whom.len() as f64 + (self.steward.channel.head + 1.0) * fresh as f64
+    }
+
     /// Takes the orders in if backlog and message limit allow; `each` lines go to each of `whom`.
     fn take(&mut self, may: (f64, f64, f64, f64), whom: &[ProxyId], each: f64, orders: &[Order]) -> bool {
         let Steward { channel, waiting, .. } = self.steward;
         let (span, most) = (channel.messages_over + 2.0 * BUCKET, may.1 * f64::from(channel.messages));
         let full = |id: &ProxyId| channel.messages > 0 && waiting.messages(self.now, span, *id) + 1.0 > most;
         let fresh: Vec<&ProxyId> = whom.iter().filter(|id| !self.lines.contains_key(id)).collect();
-        let cost = each * whom.len() as f64 + (channel.head + 1.0) * fresh.len() as f64;
+        let cost = self.cost(whom, each);
         // What comes back rides on messages that go anyway, a drain's: it costs no head then.
         let rides = may == BACK && (fresh.is_empty() || self.waiting <= 0.0);
         let pace = channel.lines_per_s * if self.leaving && !rides { may.2 } else { may.3 };
-        if fresh.into_iter().any(full) || self.waiting + cost > pace.min(may.0 * channel.backlog) {
+        let fits = self.waiting + cost <= pace.min(may.0 * channel.backlog);
+        self.refused |= !fits;
+        if !fits || fresh.into_iter().any(full) {
             return false;
         }
         self.waiting += cost;
@@ -72,6 +109,8 @@
         true
     }
 
+    /// Drains and gates, in the order of their hosts. What has no room yet keeps it: guards against a withdrawal from many
+    /// proxies that waits for good while smaller orders take each piece of room that comes up.
     fn withdraw(&mut self, wanted: &Plan) {
         let out: Vec<HostId> = wanted.held.difference(&self.present.held).copied().collect();
         for host in out {
@@ -80,6 +119,9 @@
             let whom = self.present.holders(host, &self.steward.proxies);
             let taken = self.take(may, &whom, 1.0, &[Order::Withdraw { host, out: true }]);
             self.present.held.extend(taken.then_some(host));
+            self.held_up += usize::from(!taken);
+            let (channel, cost) = (&self.steward.channel, self.cost(&whom, 1.0));
+            self.waiting += if taken || cost > may.0 * channel.backlog { 0.0 } else { cost };
         }
     }
 
@@ -167,21 +209,50 @@
         let mut lacking = present.lacking(wanted);
         lacking.sort_by_key(|((id, _), of)| !present.bare_for(*id, *of).unwrap_or(proxies[id].fresh));
         for ((proxy, tbl), products) in lacking {
-            let (present, steward) = (&self.present, self.steward);
-            let bare = present.bare_for(proxy, products);
+            let bare = self.present.bare_for(proxy, products);
             let may = if least == DRAIN || bare == Some(false) { least } else { URGENT };
             // Nobody is moved to a table before something in it serves.
-            let serves = bare == Some(true) || least == DRAIN || !present.bare(&tbl);
-            let lines = present.lines().get(&tbl);
-            let clean = || lines.is_some_and(|lines| !lines.keys().any(|id| steward.outside(&tbl, id)));
-            let each = 2.0 * (lines.map_or(0, BTreeMap::len) + steward.products.len()) as f64 + 1.0;
-            let bind = Order::Bind { proxy, tbl: self.present.number(tbl), products };
-            if serves && clean() && self.take(may, &[proxy], each, &[bind]) {
-                self.present.bind(proxy, tbl, products);
+            let serves = bare == Some(true) || least == DRAIN || !self.present.bare(&tbl);
+            if serves {
+                self.bind_one(may, proxy, tbl, products);
             }
         }
     }
 
+    fn bind_one(&mut self, may: (f64, f64, f64, f64), proxy: ProxyId, tbl: Tbl, products: Products) -> bool {
+        let steward = self.steward;
+        let lines = self.present.lines().get(&tbl);
+        let clean = lines.is_some_and(|lines| !lines.keys().any(|id| steward.outside(&tbl, id)));
+        let each = self.bind_lines(&tbl);
+        let bind = Order::Bind { proxy, tbl: self.present.number(tbl), products };
+        let taken = clean && self.take(may, &[proxy], each, &[bind]);
+        if taken {
+            self.present.bind(proxy, tbl, products);
+        }
+        taken
+    }
+
+    /// What a bind to the table costs beside the message's head, at the most.
+    fn bind_lines(&self, tbl: &Tbl) -> f64 {
+        let lines = self.present.lines().get(tbl).map_or(0, BTreeMap::len);
+        2.0 * (lines + self.steward.products.len()) as f64 + 1.0
+    }
+
+    /// Where what is wanted finds no room and no answer comes, one proxy is bound, anew where it is bound already,
+    /// whatever counts as waiting. Gives the probe's lines.
+    fn probe(&mut self, wanted: &Plan) -> Option<f64> {
+        let Steward { channel, stall, .. } = self.steward;
+        if !self.refused || !self.lines.is_empty() {
+            return None;
+        }
+        let room = stall.probe(self.now, channel.transit_worst, channel.backlog)?;
+        let place = stall.count.checked_rem(wanted.binds.len())?;
+        let ((proxy, tbl), products) = wanted.binds[place];
+        let lines = self.cost(&[proxy], self.bind_lines(&tbl));
+        let fits = lines <= room && !self.present.bare(&tbl) && !self.passed.contains(&tbl);
+        (fits && self.bind_one(PROBE, proxy, tbl, products)).then_some(lines)
+    }
+
     /// Of one that is gone, in no table, and unknown to proxies not bound yet nothing stays; so of idle tables.
     fn forget(&mut self, wanted: &Plan) -> BTreeSet<HostId> {
         self.orders.extend(self.present.drop_unused(wanted).into_iter().map(|tbl| Order::Clear { tbl }));
--- a/crates/policy/tests/policy/main.rs
+++ b/crates/policy/tests/policy/main.rs
@@ -1,4 +1,5 @@
 mod fleet;
 mod model;
 mod reach;
+mod stalls;
 mod traces;
--- /dev/null
+++ b/crates/policy/tests/policy/stalls.rs
@@ -0,0 +1,104 @@
+//! What counts as waiting in the channel, and the orders that have to wait for it.
+
+use amberarch_core::*;
+
+use crate::fleet::Fleet;
+
+const PROXIES: u16 = 24;
+
+impl Fleet {
+    /// The proxy answers the last mark.
+    fn answers(&mut self, proxy: u16) {
+        let applied = Event::Applied { proxy: ProxyId(proxy), mark: self.mark, took: 300.0 };
+        self.say(&[applied]);
+    }
+
+    /// Runs until something is traced that holds that; gives how long it took in ms.
+    fn until(&mut self, what: &str, most: f64) -> f64 {
+        let begun = self.now;
+        while !self.trace.contains(what) {
+            assert!(self.now < begun + most, "no {what} in {most} ms:\n{}", self.trace);
+            self.run(1);
+        }
+        self.now - begun
+    }
+}
+
+/// All proxies are bound and none has answered; a host drains and its withdrawal finds no room.
+fn filled() -> Fleet {
+    let mut fleet = Fleet::with_channel(1, 6, 420.0);
+    (0..PROXIES).for_each(|proxy| fleet.join(proxy));
+    fleet.run(1);
+    fleet.trace.clear();
+    fleet.list(0, Standing::Draining, None);
+    assert!(!fleet.trace.contains("withdraw"), "{}", fleet.trace);
+    fleet
+}
+
+/// Guards against drains that wait for good behind lines whose answers were lost: one proxy is bound again, and its answer
+/// shows that all before it has left.
+#[test]
+fn a_drain_behind_answers_that_were_lost_goes_once_a_probe_is_answered() {
+    let mut fleet = filled();
+    let waited = fleet.until("bind", 3_000.0);
+    // Twice the longest transit after the last message, which was written one tick before the drain.
+    assert!((800.0..=1_000.0).contains(&waited), "{waited}");
+    assert_eq!(fleet.trace.lines().count(), 1, "{}", fleet.trace);
+    let bound: u16 =
+        fleet.trace.split("proxy").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok()).unwrap();
+    fleet.answers(bound);
+    assert!(fleet.until("withdraw host0", 3_000.0) <= 400.0);
+}
+
+/// Guards against probes that fill the channel they ask about: each waits twice as long as the one before, goes to another
+/// proxy, and all of them together use what drains leave of the backlog.
+#[test]
+fn probes_without_an_answer_are_few_and_go_to_different_proxies() {
+    let mut fleet = filled();
+    fleet.run(300);
+    let bound: Vec<&str> = fleet.trace.lines().filter(|line| line.contains(" bind ")).collect();
+    assert_eq!(fleet.trace.lines().count(), bound.len(), "nothing but probes:\n{}", fleet.trace);
+    assert!((1..=3).contains(&bound.len()), "{bound:#?}");
+    let whom: std::collections::BTreeSet<&str> =
+        bound.iter().filter_map(|line| line.split(' ').nth(2)).collect();
+    assert_eq!(whom.len(), bound.len());
+}
+
+/// Guards against probes where the channel moves: answers come, late as they may be.
+#[test]
+fn a_channel_that_is_slow_and_answers_gets_no_probe() {
+    let mut fleet = filled();
+    fleet.trace.clear();
+    let mark = fleet.mark;
+    for proxy in 0..PROXIES / 2 {
+        fleet.run(2);
+        let applied = Event::Applied { proxy: ProxyId(proxy), mark, took: 300.0 };
+        fleet.say(&[applied]);
+        if fleet.trace.contains("withdraw host0") {
+            break;
+        }
+        assert!(!fleet.trace.contains(" bind "), "{}", fleet.trace);
+    }
+}
+
+/// Guards against a withdrawal from many proxies that finds no room while binds, smaller each, take every piece that comes
+/// up: it keeps its place ahead of them.
+#[test]
+fn a_drain_for_many_is_not_overtaken_by_binds_that_fit() {
+    let mut fleet = filled();
+    // As many again come from elsewhere and are not bound yet.
+    let more: Vec<(u16, bool)> = (PROXIES..2 * PROXIES).map(|proxy| (proxy, false)).collect();
+    fleet.trace.clear();
+    fleet.join_all(&more);
+    let first = fleet.mark;
+    for proxy in 0..PROXIES {
+        fleet.now += 50.0;
+        let applied = Event::Applied { proxy: ProxyId(proxy), mark: first, took: 300.0 };
+        fleet.say(&[applied]);
+        if fleet.trace.contains("withdraw host0") {
+            return;
+        }
+        assert!(!fleet.trace.contains(" bind "), "overtaken:\n{}", fleet.trace);
+    }
+    fleet.until("withdraw host0", 1_000.0);
+}
--- a/crates/steward/src/desk.rs
+++ b/crates/steward/src/desk.rs
@@ -12,7 +12,7 @@
 use amberarch_facts::Names;
 use amberarch_intake::Believed;
 use amberarch_residency::Judge;
-use slog::{error, warn, Logger};
+use slog::{error, info, warn, Logger};
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, Instant};
 
@@ -290,7 +290,10 @@
                 self.unseen = Some(self.joined.keys().copied().collect());
             }
             Heard::Stood => {
-                for proxy in self.unseen.take().unwrap_or_default() {
+                let unseen = self.unseen.take().unwrap_or_default();
+                info!(self.log, "the relay's proxies are known"; "joined" => self.joined.len() - unseen.len(),
+                    "left" => unseen.len(), "bound_anew" => self.anew);
+                for proxy in unseen {
                     self.left(proxy);
                 }
             }
--- a/crates/steward/src/relay/mod.rs
+++ b/crates/steward/src/relay/mod.rs
@@ -11,7 +11,7 @@
 use amberarch_core::{MarkId, Order, ProxyId};
 use bytes::Bytes;
 use serde::Deserialize;
-use slog::warn;
+use slog::{info, warn};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, sleep_until, Instant};
 
@@ -74,11 +74,15 @@
     pause: Option<Duration>,
     next_pause: Duration,
     inquiry: Duration,
+    /// When the call became unsure.
+    since: Instant,
+    seldom: Seldom,
 }
 
 impl Default for Repeats {
     fn default() -> Repeats {
-        Repeats { pause: None, next_pause: AGAIN, inquiry: INQUIRY }
+        let (since, seldom) = (Instant::now(), Seldom::default());
+        Repeats { pause: None, next_pause: AGAIN, inquiry: INQUIRY, since, seldom }
     }
 }
 
@@ -87,6 +91,14 @@
         self.pause = Some(self.next_pause);
         self.next_pause = AGAIN_MOST.min(2 * self.next_pause);
         self.inquiry = INQUIRY;
+        self.since = Instant::now();
+    }
+
+    fn tell(&self, ties: &Ties, what: &'static str) {
+        if let Some(hidden) = self.seldom.pass() {
+            let after = self.since.elapsed().as_millis() as u64;
+            info!(ties.log, "{what}", what = what; "after_ms" => after, "hidden" => hidden);
+        }
     }
 
     fn next_inquiry(&mut self) -> Duration {
@@ -134,9 +146,11 @@
                         Settled::Open => {}
                         Settled::CarriedOut => {
                             self.ties.counters.calls_proven.one();
+                            repeats.tell(&self.ties, "a proxy answered the unsure call's mark");
                             self.carried_out(&mut queue, count).await;
                         }
                         Settled::Repeat => {
+                            repeats.tell(&self.ties, "the relay answers, the unsure call goes again");
                             self.again(&queue.marks(count)).await;
                             queue.unsure = None;
                         }
