The wall clock is read once; probes that this machine can't open say nothing of a host

Cause: a host's age was the wall clock less its start as listed, read anew at each entry (desk/hosts.rs), so a stepped clock made a cold host warm or a warm one cold. A probe that failed for want of a descriptor, port, buffer or route here counted against the host.

Change: clock.rs reads the wall clock at the start and goes on by the monotonic one. No start lies ahead; one of a host that was listed with another start is no older than the last list without it and 6 s. The list's empty answers are told to the event loop for that. http.rs tells what this machine lacks from what the peer refuses. An accepted connection that was aborted is no reason to pause. Drills throw failed, late, garbled and busy calls, a stopped process and a held list as well.

--- a/crates/rig/src/drill/discovery.rs
+++ b/crates/rig/src/drill/discovery.rs
@@ -10,7 +10,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep_until, Instant};
 
-use super::{ListChange, Recorder, CONTROLLER};
+use super::{ListChange, ListHeld, Recorder, CONTROLLER};
 use crate::address::Block;
 use crate::hosts::Host;
 use crate::serve::{full, serve};
@@ -25,6 +25,7 @@
     states: RefCell<BTreeMap<usize, (u64, HostState)>>,
     version: watch::Sender<u64>,
     up: watch::Sender<bool>,
+    held: watch::Sender<bool>,
     recorder: Recorder,
 }
 
@@ -41,6 +42,7 @@
             states: RefCell::default(),
             version: watch::Sender::new(FIRST_VERSION),
             up: watch::Sender::new(true),
+            held: watch::Sender::new(false),
             recorder,
         });
         let (answers, up) = (discovery.clone(), discovery.up.subscribe());
@@ -61,6 +63,7 @@
             let wait = Duration::from_millis(wait.unwrap_or(0));
             let _ = tokio::time::timeout(wait, version.wait_for(|version| *version > after)).await;
         }
+        let _ = self.held.subscribe().wait_for(|held| !held).await;
         let states = self.states.borrow();
         let changed = |number: &usize| states.get(number).map_or(0, |state| state.0) > after.unwrap_or(0);
         let listed = |number: &usize| match after {
@@ -87,6 +90,16 @@
         row
     }
 
+    /// Answers nothing by that plan.
+    pub async fn hold(self: Rc<Discovery>, start: Instant, spans: Vec<ListHeld>) {
+        for ListHeld { from, until } in spans {
+            sleep_until(start + Duration::from_millis(from)).await;
+            self.held.send_replace(true);
+            sleep_until(start + Duration::from_millis(until)).await;
+            self.held.send_replace(false);
+        }
+    }
+
     /// Changes the list by that plan.
     pub async fn change(self: Rc<Discovery>, start: Instant, changes: Vec<ListChange>) {
         for ListChange { at, hosts } in changes {
--- a/crates/rig/src/drill/drawn.rs
+++ b/crates/rig/src/drill/drawn.rs
@@ -6,7 +6,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::{
-    DrillPlan, ListChange, LostMarks, Move, Settings, Silence, SilenceEnds, SilentCalls, Unreachable,
+    CallFault, DrillPlan, FailedCalls, ListChange, ListHeld, LostMarks, Move, Settings, Silence, SilenceEnds,
+    SilentCalls, Stopped, Unreachable,
 };
 
 /// Before this nothing fails, ms: everybody joins and is bound.
@@ -26,7 +27,21 @@
         let silences = draw.silences(until);
         let unreachable = draw.unreachable(&settings, &silences, until);
         let (lost_marks, moves) = (draw.lost_marks(until), draw.moves(settings.proxies, until));
-        DrillPlan { settings, changes, silences, unreachable, lost_marks, moves, lasts: until + AFTER }
+        let (failed_calls, stopped) = (draw.failed_calls(until), draw.stopped(until));
+        let list_held = draw.list_held(until);
+        let lasts = until + AFTER;
+        DrillPlan {
+            settings,
+            changes,
+            silences,
+            unreachable,
+            lost_marks,
+            moves,
+            failed_calls,
+            stopped,
+            list_held,
+            lasts,
+        }
     }
 }
 
@@ -122,6 +137,36 @@
         vec![LostMarks { from, until: until.min(from + self.0.random_range(500..5_000)) }]
     }
 
+    /// A span that begins within the faults and lasts so many ms.
+    fn span(&mut self, until: u64, lasts: std::ops::Range<u64>) -> (u64, u64) {
+        let from = self.0.random_range(CALM..until);
+        (from, until.min(from + self.0.random_range(lasts)))
+    }
+
+    fn failed_calls(&mut self, until: u64) -> Vec<FailedCalls> {
+        let hows = [
+            CallFault::Reset { carried_out: true },
+            CallFault::Reset { carried_out: false },
+            CallFault::HalfAnswered,
+            CallFault::Garbled,
+            CallFault::Late,
+            CallFault::Busy,
+        ];
+        let how = hows[self.0.random_range(0..hows.len())];
+        let (from, until) = self.span(until, 100..2_500);
+        vec![FailedCalls { from, until, how }]
+    }
+
+    fn stopped(&mut self, until: u64) -> Vec<Stopped> {
+        let (from, until) = self.span(until, 50..1_000);
+        vec![Stopped { from, until }]
+    }
+
+    fn list_held(&mut self, until: u64) -> Vec<ListHeld> {
+        let (from, until) = self.span(until, 100..4_000);
+        vec![ListHeld { from, until }]
+    }
+
     fn moves(&mut self, proxies: u16, until: u64) -> Vec<Move> {
         let one = |_| {
             let leaves = self.0.random_range(CALM..until);
--- a/crates/rig/src/drill/mod.rs
+++ b/crates/rig/src/drill/mod.rs
@@ -57,6 +57,46 @@
     InTurn,
 }
 
+/// What becomes of a call that reaches a relay which is not silent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum CallFault {
+    /// The connection is reset before the call is carried out, or after.
+    Reset { carried_out: bool },
+    /// It is carried out, and its answer breaks off.
+    HalfAnswered,
+    /// It is carried out, and its answer can't be read.
+    Garbled,
+    /// It is carried out, and its answer comes too late.
+    Late,
+    /// It is turned back.
+    Busy,
+}
+
+/// For that time each call fails so.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedCalls {
+    /// From the start of the drill, ms.
+    pub from: u64,
+    pub until: u64,
+    pub how: CallFault,
+}
+
+/// For that time the controller's process is stopped (SIGSTOP, then SIGCONT).
+#[derive(Clone, Copy, Debug)]
+pub struct Stopped {
+    /// From the start of the drill, ms.
+    pub from: u64,
+    pub until: u64,
+}
+
+/// For that time discovery answers nothing; what it has to say is written at the end.
+#[derive(Clone, Copy, Debug)]
+pub struct ListHeld {
+    /// From the start of the drill, ms.
+    pub from: u64,
+    pub until: u64,
+}
+
 /// How a relay's silence ends for the connections that stand.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum SilenceEnds {
@@ -113,10 +153,31 @@
     pub unreachable: Vec<Unreachable>,
     pub lost_marks: Vec<LostMarks>,
     pub moves: Vec<Move>,
+    pub failed_calls: Vec<FailedCalls>,
+    pub stopped: Vec<Stopped>,
+    pub list_held: Vec<ListHeld>,
     /// How long it lasts, ms.
     pub lasts: u64,
 }
 
+impl DrillPlan {
+    /// Without any fault.
+    pub fn calm(settings: Settings, changes: Vec<ListChange>, lasts: u64) -> DrillPlan {
+        DrillPlan {
+            settings,
+            changes,
+            silences: vec![],
+            unreachable: vec![],
+            lost_marks: vec![],
+            moves: vec![],
+            failed_calls: vec![],
+            stopped: vec![],
+            list_held: vec![],
+            lasts,
+        }
+    }
+}
+
 /// What a drill left.
 pub struct Drilled {
     pub history: Vec<Line>,
@@ -181,6 +242,10 @@
     for one in &plan.moves {
         spawn_local(relay.clone().moves(start, *one));
     }
+    spawn_local(relay.clone().fail_calls(start, plan.failed_calls.clone()));
+    spawn_local(discovery.clone().hold(start, plan.list_held.clone()));
+    let member = Rc::new(member);
+    spawn_local(stop(start, member.clone(), plan.stopped.clone()));
     spawn_local(discovery.change(start, plan.changes.clone()));
     sleep_until(start + Duration::from_millis(plan.lasts)).await;
     // Its counters are the last line of its log.
@@ -215,6 +280,16 @@
     Ok(Hosts { all, reachable })
 }
 
+/// Stops the controller's process by that plan.
+async fn stop(start: Instant, member: Rc<Member>, spans: Vec<Stopped>) {
+    for Stopped { from, until } in spans {
+        for (at, signal) in [(from, Signal::STOP), (until, Signal::CONT)] {
+            sleep_until(start + Duration::from_millis(at)).await;
+            member.signal(signal);
+        }
+    }
+}
+
 /// Takes hosts out of reach and back by that plan.
 async fn out_of_reach(start: Instant, reachable: Rc<Vec<watch::Sender<bool>>>, plan: Unreachable) {
     for (at, up) in [(plan.from, false), (plan.until, true)] {
--- a/crates/steward/src/desk.rs
+++ b/crates/steward/src/desk.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, Instant};
 
+use crate::clock::UnixClock;
 use crate::counters::{Counters, Seldom};
 use crate::fleet::Ward;
 use crate::guard::Keeper;
@@ -86,8 +87,10 @@
     /// Who is shut out by the orders so far, and who the next call lets in again ahead of its orders.
     shut_out: BTreeSet<HostId>,
     let_in: BTreeSet<HostId>,
-    /// Unix time in milliseconds, by the system's clock.
-    unix: fn() -> f64,
+    /// When the list was last told or confirmed, by the clock of the decisions.
+    list_heard_at: f64,
+    /// Unix time, whatever becomes of the system's clock.
+    unix: UnixClock,
     events: Vec<Event>,
     out: Out,
     /// The roster, where what it holds is kept on disk; and when that was last handed on.
@@ -117,7 +120,7 @@
         (make, seed): (Make, u64),
         labels: Labels,
         known: Listing,
-        unix: fn() -> f64,
+        unix: UnixClock,
         out: Out,
         counters: Rc<Counters>,
         log: Logger,
@@ -137,6 +140,7 @@
             resume: Instant::now(),
             shut_out: BTreeSet::new(),
             let_in: BTreeSet::new(),
+            list_heard_at: 0.0,
             unix,
             events: Vec::new(),
             out,
@@ -210,7 +214,7 @@
         /// A change waits for the last steward to say that it is settled; what is over by time is looked for as often.
         const LOOK: Duration = Duration::from_millis(50);
         loop {
-            let calls = self.ward.as_ref().is_some_and(|ward| ward.calls((self.unix)()));
+            let calls = self.ward.as_ref().is_some_and(|ward| ward.calls(self.unix.now_ms()));
             // What a start, a start anew or a full queue left to decide on waits for nobody.
             let due = match self.timers.peek() {
                 _ if !self.events.is_empty() || calls => self.resume,
@@ -244,7 +248,7 @@
                 self.counters.timers.one();
                 self.events.push(Event::Due { timer });
             }
-            let calls = self.ward.as_ref().is_some_and(|ward| ward.calls((self.unix)()));
+            let calls = self.ward.as_ref().is_some_and(|ward| ward.calls(self.unix.now_ms()));
             if (!self.events.is_empty() || calls) && now >= self.resume {
                 self.decide();
             }
@@ -299,7 +303,7 @@
             }
             Heard::News(news) => self.news(news),
             Heard::Listed(listing) if self.rolls.is_some() => {
-                let now = (self.unix)();
+                let now = self.unix.now_ms();
                 let rows = listing.hosts.iter().map(|row| (row.host.clone(), state::kept(row))).collect();
                 if let Some(rolls) = &mut self.rolls {
                     rolls.roster.listed(now, listing.seq, listing.whole, rows);
@@ -307,7 +311,8 @@
                 self.roll_out(ListNews::Changes, true);
             }
             Heard::ListStands => {
-                let now = (self.unix)();
+                self.list_heard_at = self.now();
+                let now = self.unix.now_ms();
                 if let Some(rolls) = &mut self.rolls {
                     rolls.roster.stands(now);
                 }
@@ -351,7 +356,7 @@
                 self.guard.iter_mut().for_each(|guard| guard.answered(now, place));
             }
             Heard::Holds(holds) => {
-                let unix = (self.unix)();
+                let unix = self.unix.now_ms();
                 if let Some(ward) = &mut self.ward {
                     ward.hold(unix, holds);
                 }
@@ -431,7 +436,7 @@
 
     fn decide(&mut self) {
         self.tend();
-        let (now, unix) = (self.now(), (self.unix)());
+        let (now, unix) = (self.now(), self.unix.now_ms());
         // What holds goes first: what else happened is decided under it.
         let mut events = self.ward.as_mut().map_or(vec![], |ward| ward.events(now, unix));
         events.append(&mut self.events);
--- a/crates/steward/src/desk/hosts.rs
+++ b/crates/steward/src/desk/hosts.rs
@@ -12,6 +12,9 @@
 use crate::heard::{Entry, Health, Listing, Probe, Row};
 use crate::state;
 
+/// The protocol page: what discovery has to tell counts as told 6 s later at the latest.
+const LIST_LATE: f64 = 6_000.0;
+
 impl Desk {
     /// Tells what holds which hosts there are.
     pub(super) fn tell_zones(&mut self) {
@@ -53,8 +56,11 @@
             self.hosts.insert(entry.host, known);
             entries.push(entry);
         }
+        self.list_heard_at = self.now();
         amberarch_residency::last_rows(&mut entries);
-        info!(self.log, "the list"; "seq" => listing.seq, "how" => ?news, "entries" => entries.len());
+        let leaving = entries.iter().filter(|entry| entry.standing != Standing::On).count();
+        info!(self.log, "the list"; "seq" => listing.seq, "how" => ?news, "entries" => entries.len(),
+            "leaving" => leaving);
         let list = Event::List { news, entries };
         self.guard_hears(&list);
         self.events.push(list);
@@ -64,7 +70,7 @@
 
     /// What the roster trusts and the decisions do not know yet, with hints of what was learnt before this run.
     pub(super) fn roll_out(&mut self, news: ListNews, always: bool) {
-        let now = (self.unix)();
+        let now = self.unix.now_ms();
         let Some(rolls) = &mut self.rolls else { return };
         let rows = rolls.roster.emit(now);
         if rows.is_empty() && !always {
@@ -86,7 +92,7 @@
     pub(super) fn tend(&mut self) {
         /// The writer's own period is no shorter than a tenth of this.
         const HAND_ON: Duration = Duration::from_millis(500);
-        let now = (self.unix)();
+        let now = self.unix.now_ms();
         let Some(rolls) = &mut self.rolls else { return };
         for (name, dial) in rolls.roster.to_probe(now) {
             let host = self.names.id(&name);
@@ -111,7 +117,7 @@
     }
 
     pub(super) fn proved(&mut self, host: HostId, outcome: Outcome) {
-        let now = (self.unix)();
+        let now = self.unix.now_ms();
         let pass = match outcome {
             Outcome::Answered => Some(true),
             Outcome::Full | Outcome::Unknown => None,
@@ -123,7 +129,7 @@
     }
 
     pub(super) fn served(&mut self, event: &Event) {
-        let now = (self.unix)();
+        let now = self.unix.now_ms();
         if let (Some(rolls), Event::Met { host, tries, voided, .. }) = (&mut self.rolls, event) {
             if let Some(name) = self.names.name(*host).filter(|_| tries > voided) {
                 rolls.roster.met(now, name);
@@ -132,7 +138,7 @@
     }
 
     pub(super) fn learnt(&mut self, host: HostId, part: Option<f64>, shut: Option<bool>) {
-        let now = (self.unix)();
+        let now = self.unix.now_ms();
         if let Some((rolls, name)) = self.rolls.as_mut().zip(self.names.name(host)) {
             rolls.roster.learnt(now, name, part, shut);
         }
@@ -161,10 +167,11 @@
         let host = self.names.id(&row.host);
         // One clock is read by all machines; here its times become the module's. Once for each start:
         // two clocks read twice differ by a little, and a later time would be one more start.
-        let same = self.hosts.get(&host).filter(|known| known.born_ms == row.born_ms);
-        let age = || (self.unix)() - row.born_ms;
-        let born =
-            same.map_or_else(|| (row.born_ms > 0.0).then(|| self.now() - age()), |known| known.listed.born);
+        let known = self.hosts.get(&host);
+        let born = match known {
+            Some(known) if known.born_ms == row.born_ms => known.listed.born,
+            _ => (row.born_ms > 0.0).then(|| self.now() - self.age(row, known.is_some())),
+        };
         Some(Listed {
             host,
             weight: row.share,
@@ -180,6 +187,19 @@
         })
     }
 
+    /// How long ago a host started, ms. No start lies ahead, and one of a host that was listed with another start is no
+    /// older than the last list that did not have it, and what a list may be late by: so far a wrong clock can't make a
+    /// cold host warm, nor keep it cold for longer than it warms.
+    fn age(&self, row: &Row, restarted: bool) -> f64 {
+        let by_clock = (self.unix.now_ms() - row.born_ms).max(0.0);
+        let unlisted = self.now() - self.list_heard_at + LIST_LATE;
+        if restarted {
+            by_clock.min(unlisted)
+        } else {
+            by_clock
+        }
+    }
+
     /// A known host that a row has in a zone nobody knows, where a policy of the fleet governs: left where it was, it
     /// would go on serving what only that zone may. Where none governs the row is skipped like any that can't be read:
     /// a spoilt word, alone in a good list of changes, must not take a host out of service. (A whole list without a
--- a/crates/steward/src/fleet.rs
+++ b/crates/steward/src/fleet.rs
@@ -20,6 +20,7 @@
 use slog::{error, info, o, warn, Logger};
 use tokio::sync::mpsc;
 
+use crate::clock::UnixClock;
 use crate::counters::{Counters, Seldom};
 use crate::desk::Make;
 use crate::heard::{Heard, Ties};
@@ -238,7 +239,7 @@
 pub struct Clerk {
     ground: Ground,
     common: Shared,
-    unix_ms: fn() -> f64,
+    clock: UnixClock,
     /// By digest; those of the last stages.
     read: BTreeMap<Digest, Rules>,
     /// What holds now, to be joined with what is to come.
@@ -262,12 +263,12 @@
     pub fn new(
         ground: Ground,
         common: Shared,
-        unix_ms: fn() -> f64,
+        clock: UnixClock,
         tell: mpsc::UnboundedSender<Told>,
         log: Logger,
     ) -> Clerk {
         let (read, holding, also) = (BTreeMap::new(), vec![], BTreeSet::new());
-        Clerk { ground, common, unix_ms, read, holding, also, told: (Under::default(), false), tell, log }
+        Clerk { ground, common, clock, read, holding, also, told: (Under::default(), false), tell, log }
     }
 
     fn rules(&mut self, revision: &Revision) -> Result<Rules, String> {
@@ -278,7 +279,7 @@
         let residency = Arc::new(policy.residency.clone().unwrap_or_default());
         let mut rules = Rules { residency, plan: None, tenants: tenants(&policy) };
         let (now, _) =
-            reach(&rules, &self.ground.facts, (self.unix_ms)()).map_err(|unfit| unfit.to_string())?;
+            reach(&rules, &self.ground.facts, self.clock.now_ms()).map_err(|unfit| unfit.to_string())?;
         if let Some(section) = &policy.shares {
             let plan =
                 plan(section, &revision.text, &self.ground, &now, None).map_err(|fault| fault.to_string())?;
@@ -295,7 +296,7 @@
     fn joint(&self, rules: &[Rules]) -> Result<Reach, Unfit> {
         let mut all = Reach::default();
         for (place, rules) in rules.iter().enumerate() {
-            let (one, _) = reach(rules, &self.ground.facts, (self.unix_ms)())?;
+            let (one, _) = reach(rules, &self.ground.facts, self.clock.now_ms())?;
             all = if place == 0 { one } else { all.joint(&one) };
         }
         Ok(all)
@@ -319,7 +320,7 @@
         let capacity: Vec<f64> = (0..self.ground.facts.zones.len() as u16)
             .map(|zone| listed.weights.get(&ZoneId(zone)).map_or(0.0, |weight| weight * per_weight))
             .collect();
-        let fit = fit(&revision.text, &self.ground, known.then_some(&capacity), (self.unix_ms)());
+        let fit = fit(&revision.text, &self.ground, known.then_some(&capacity), self.clock.now_ms());
         let fit = fit.map_err(|fault| fault.to_string())?;
         if fit.no != revision.no.0 {
             return Err(format!("its text says revision {}", fit.no).into());
@@ -835,7 +836,7 @@
     /// ms that a host counts for the zone that it was listed in before.
     pub drain_grace: f64,
     pub seed: u64,
-    pub unix_ms: fn() -> f64,
+    pub clock: UnixClock,
 }
 
 /// Starts the talk.
@@ -850,12 +851,12 @@
     log: &Logger,
 ) -> Result<Started, String> {
     let log = log.new(o!("part" => "fleet"));
-    let Own { name, ground, drain_grace, seed, unix_ms } = own;
+    let Own { name, ground, drain_grace, seed, clock } = own;
     let name = Name::from(section.name.as_ref().map_or(name.as_str(), |name| name.get_ref().as_str()));
     let common = Shared::default();
     let products = ground.facts.products.len() as u16;
     let (tell, told) = mpsc::unbounded_channel();
-    let clerk = Clerk::new(ground.clone(), common.clone(), unix_ms, tell, log.clone());
+    let clerk = Clerk::new(ground.clone(), common.clone(), clock, tell, log.clone());
     let post = Post {
         fleet: FleetId(section.id.get_ref().as_str().into()),
         name: name.clone(),
@@ -888,7 +889,7 @@
         facts: ground.facts.clone(),
         ground: RefCell::new(ground),
         common,
-        unix_ms,
+        clock,
         members: RefCell::new(members(section)),
         proposed: RefCell::default(),
         log,
@@ -906,7 +907,7 @@
     ground: RefCell<Ground>,
     facts: Facts,
     common: Shared,
-    unix_ms: fn() -> f64,
+    clock: UnixClock,
     members: RefCell<Vec<Member>>,
     /// What of the file was proposed last.
     proposed: RefCell<Option<(RevisionNo, Digest)>>,
@@ -941,7 +942,7 @@
 
     fn read(&self) -> Result<Revision, String> {
         let text = std::fs::read_to_string(&self.policy).map_err(|why| why.to_string())?;
-        let fit = fit(&text, &self.ground.borrow(), None, (self.unix_ms)());
+        let fit = fit(&text, &self.ground.borrow(), None, self.clock.now_ms());
         let fit = fit.map_err(|fault| fault.to_string())?;
         let no = RevisionNo(fit.no);
         Ok(Revision { no, digest: Digest::of(&text), text: text.into() })
--- a/crates/steward/src/http.rs
+++ b/crates/steward/src/http.rs
@@ -47,6 +47,9 @@
 pub enum Fault {
     #[error("not sent: {0}")]
     NotSent(String),
+    /// This machine could not open a connection, whoever listens at the other end.
+    #[error("not sent: {0}")]
+    NoMeans(io::Error),
     #[error("sent in part: {0}")]
     InPart(String),
     /// All of it may have arrived; nothing readable came back.
@@ -60,6 +63,25 @@
     Silent(&'static str),
 }
 
+/// Whether a failed dial says something of this machine and nothing of the peer: no descriptor, memory, buffer, port or
+/// route was to be had, or a signal came between (connect(2), socket(2)).
+fn is_own(error: &io::Error) -> bool {
+    /// Errors for which the standard library has no kind.
+    const ENFILE: i32 = 23;
+    const EMFILE: i32 = 24;
+    const ENOBUFS: i32 = 105;
+    let by_kind = matches!(
+        error.kind(),
+        io::ErrorKind::AddrNotAvailable
+            | io::ErrorKind::AddrInUse
+            | io::ErrorKind::NetworkUnreachable
+            | io::ErrorKind::Interrupted
+            | io::ErrorKind::OutOfMemory
+            | io::ErrorKind::WouldBlock
+    );
+    by_kind || matches!(error.raw_os_error(), Some(ENFILE | EMFILE | ENOBUFS))
+}
+
 /// Where connections come from: sockets in service, memory in tests.
 pub trait Dial {
     type Stream: AsyncRead + AsyncWrite + Unpin + 'static;
@@ -161,7 +183,10 @@
         let not_sent = |why: &dyn ToString| Fault::NotSent(why.to_string());
         let dialled = limited(within, dial.dial(to)).await;
         let dialled = dialled.ok_or_else(|| not_sent(&"the connection did not come up"))?;
-        let stream = dialled.map_err(|error| not_sent(&error))?;
+        let stream = dialled.map_err(|error| match is_own(&error) {
+            true => Fault::NoMeans(error),
+            false => not_sent(&error),
+        })?;
         let traffic = Rc::new(Traffic::default());
         let counted = Watched { stream, watch: traffic.clone() };
         let (sender, pump) = http1::Builder::new()
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -1,5 +1,6 @@
 //! The steward on sockets: adapters round amberarch's decisions, each file with one job.
 
+pub mod clock;
 pub mod command;
 pub mod config;
 pub mod counters;
--- a/crates/steward/src/list.rs
+++ b/crates/steward/src/list.rs
@@ -27,8 +27,6 @@
     pub line: Kept<D>,
     /// How long a call may wait for news.
     pub wait: Duration,
-    /// Whether the desk is told of answers without news: they confirm what it keeps.
-    pub confirms: bool,
     /// Spreads the calls that follow a failure.
     pub spread: Spread,
     pub ties: Ties,
@@ -113,7 +111,7 @@
                     // The first answer is told even if it holds nothing: it shows that the watch stands.
                     if std::mem::take(&mut first) || listing.whole || !listing.hosts.is_empty() {
                         drop(self.ties.desk.send(Heard::Listed(listing)).await);
-                    } else if self.confirms {
+                    } else {
                         drop(self.ties.desk.send(Heard::ListStands).await);
                     }
                 }
@@ -170,7 +168,9 @@
     fn may_be_told(&self) -> bool {
         match self {
             Missed::Unreadable(_) | Missed::Road(Fault::CutOff(_) | Fault::Silent(_)) => true,
-            Missed::Road(Fault::NotSent(_) | Fault::InPart(_) | Fault::Unsure(_)) => false,
+            Missed::Road(Fault::NotSent(_) | Fault::NoMeans(_) | Fault::InPart(_) | Fault::Unsure(_)) => {
+                false
+            }
             Missed::Declined(_) => false,
         }
     }
--- a/crates/steward/src/listen.rs
+++ b/crates/steward/src/listen.rs
@@ -2,6 +2,7 @@
 //! joined once it has named a zone that is known; until then its time is short and a bad word ends it.
 
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -105,7 +106,11 @@
                 if let Some(hidden) = seldom.pass() {
                     warn!(inside.ties.log, "could not take a connection"; "why" => %error, "hidden" => hidden);
                 }
-                tokio::time::sleep(Duration::from_millis(50)).await;
+                // What ended with one connection, or a signal, says nothing of the next.
+                let passing = matches!(error.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted);
+                if !passing {
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
                 continue;
             }
         };
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -4,9 +4,10 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use amberarch_intake_grpc::Witness;
+use amberarch_steward::clock::UnixClock;
 use amberarch_steward::command::{self, Command, Line, Read, Run};
 use amberarch_steward::config::{self, Addresses, Config};
 use amberarch_steward::counters::{Counters, Seldom};
@@ -126,11 +127,6 @@
     }
 }
 
-fn unix_ms() -> f64 {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    since.map_or(0.0, |since| since.as_secs_f64() * 1e3)
-}
-
 /// Everything that runs, until a signal ends it.
 async fn serve(
     config: Config,
@@ -138,6 +134,7 @@
     signals: Signals,
     log: Logger,
 ) -> Result<(), String> {
+    let clock = UnixClock::read();
     let mut make = config.make();
     let facts = config.level_facts()?;
     let ladder = read.ladder(&facts.products)?;
@@ -166,7 +163,7 @@
         let names = operator.levels.iter().flat_map(|levels| &levels.level);
         let names = names.map(|level| level.get_ref().name.clone()).collect();
         let ground = fleet::Ground::of(section, governed, labels.proxies, names);
-        let own = fleet::Own { name: own_name, ground, drain_grace, seed, unix_ms };
+        let own = fleet::Own { name: own_name, ground, drain_grace, seed, clock };
         fleet = Some(fleet::start(section, own, caps, counters.clone(), &log)?);
     }
     let mut shown = None;
@@ -194,14 +191,15 @@
     let out = Out { relay: to_relay, list: to_list, probes: to_probes, witness: witness.clone() };
     let rolls = match &operator.state {
         Some(section) => {
-            let rolls = state::open(&section.folder, section.every.get_ref().0, &known, unix_ms(), &log)?;
+            let rolls =
+                state::open(&section.folder, section.every.get_ref().0, &known, clock.now_ms(), &log)?;
             known.hosts.clear();
             Some(rolls)
         }
         None => None,
     };
-    let (keeps, state) = (rolls.is_some(), rolls.as_ref().map(|rolls| rolls.writer.clone()));
-    let mut the_desk = Desk::new((make, seed), labels, known, unix_ms, out, counters.clone(), log.clone())
+    let state = rolls.as_ref().map(|rolls| rolls.writer.clone());
+    let mut the_desk = Desk::new((make, seed), labels, known, clock, out, counters.clone(), log.clone())
         .marks_drawn_from(seed);
     if let Some(rolls) = rolls {
         the_desk = the_desk.keeping(rolls);
@@ -222,7 +220,7 @@
     }
     let loads = match operator.intake.zip(witness) {
         Some((section, witness)) => {
-            Some(intake::start(&section, the_desk.start(), unix_ms(), witness, ties.clone())?)
+            Some(intake::start(&section, the_desk.start(), clock.now_ms(), witness, ties.clone())?)
         }
         None => None,
     };
@@ -249,7 +247,6 @@
     let list = Discovery {
         line: line(at_discovery),
         wait,
-        confirms: keeps,
         spread: Spread::new(seed.wrapping_add(2)),
         ties: ties.clone(),
     };
--- a/crates/steward/src/probe.rs
+++ b/crates/steward/src/probe.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use crate::heard::{Entry, Heard, Probe, Ties};
-use crate::http::{get, Dial, Line};
+use crate::http::{get, Dial, Fault, Line};
 
 /// The design page: a probe has 0.3 s to be answered.
 const ANSWER: Duration = Duration::from_millis(300);
@@ -94,6 +94,7 @@
         let found = self.ask(dial, to).await;
         match found.0 {
             Outcome::Answered => self.ties.counters.probes_passed.one(),
+            Outcome::Unknown => self.ties.counters.probes_unsent.one(),
             _ => self.ties.counters.probes_failed.one(),
         }
         found
@@ -103,6 +104,8 @@
         let none = LoadReport::default();
         let mut line = match Line::open(dial, to, self.connect_within).await {
             Ok(line) => line,
+            // Guards against hosts that are gated for what this machine lacks.
+            Err(Fault::NoMeans(_)) => return (Outcome::Unknown, none),
             Err(_) => return (Outcome::Unreachable, none),
         };
         let sent = Instant::now();
--- a/crates/steward/src/relay/mod.rs
+++ b/crates/steward/src/relay/mod.rs
@@ -205,7 +205,7 @@
                         self.ties.counters.calls_busy.one();
                         sleep(ANSWER).await;
                     }
-                    CallFault::Road(Fault::NotSent(_) | Fault::InPart(_)) => {
+                    CallFault::Road(Fault::NotSent(_) | Fault::NoMeans(_) | Fault::InPart(_)) => {
                         self.ties.counters.calls_not_sent.one();
                         sleep(self.spread.of(ANSWER)).await;
                     }
@@ -243,7 +243,7 @@
             let wait = match self.inquire().await {
                 Ok(()) => return Settled::Repeat,
                 // Nothing of it is left at the relay.
-                Err(Fault::NotSent(_)) => ANSWER,
+                Err(Fault::NotSent(_) | Fault::NoMeans(_)) => ANSWER,
                 Err(_) => repeats.next_inquiry(),
             };
             let wait = self.spread.of(wait);
--- a/crates/steward/tests/steward/main.rs
+++ b/crates/steward/tests/steward/main.rs
@@ -3,6 +3,7 @@
 #[path = "../address/mod.rs"]
 mod address;
 mod checks;
+mod clock;
 mod counters;
 mod desk;
 mod governed;
@@ -10,5 +11,6 @@
 mod listen;
 mod news;
 mod peers;
+mod probes;
 mod relay;
 mod start;
--- a/crates/steward/tests/steward/peers.rs
+++ b/crates/steward/tests/steward/peers.rs
@@ -37,6 +37,8 @@
 #[derive(Clone, Copy)]
 pub enum Dialled {
     Refused,
+    /// The system call fails with that errno.
+    Fails(i32),
     Hangs,
     Up(&'static [Then]),
 }
@@ -93,6 +95,7 @@
         let next = self.script.borrow_mut().pop_front().unwrap_or(Dialled::Refused);
         match next {
             Dialled::Refused => Err(io::ErrorKind::ConnectionRefused.into()),
+            Dialled::Fails(errno) => Err(io::Error::from_raw_os_error(errno)),
             Dialled::Hangs => std::future::pending().await,
             Dialled::Up(script) => {
                 let moved = if to == HOME { String::new() } else { format!(" to {to}") };
