--- a/crates/rig/src/drill/mod.rs
+++ b/crates/rig/src/drill/mod.rs
@@ -7,6 +7,7 @@
 mod collector;
 mod discovery;
 mod drawn;
+mod http;
 mod proxies;
 mod relay;
 mod settings;
--- a/crates/rig/src/drill/relay.rs
+++ b/crates/rig/src/drill/relay.rs
@@ -6,17 +6,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use amberarch_core::{HostId, MarkId, Order, ProductId, Products, ProxyId, TblId, Tries};
+use amberarch_core::{HostId, Order, ProductId, ProxyId};
 use amberarch_emulator::{Message, Relay as Channel};
 use amberarch_histories::What;
 use serde_json::{json, Value};
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{interval, sleep, sleep_until, Instant};
 
+use super::http::{read, reply, Request};
 use super::proxies::Proxies;
 use super::settings::{Settings, CLASSES};
 use super::traffic::Traffic;
@@ -26,6 +27,7 @@
 use crate::address::Block;
 use crate::hosts::Host;
 use crate::pen::now_ns;
+use crate::wire::{read_order, Names};
 use crate::Fault;
 
 /// The protocol page: how long time limits are suspended where the relay is silent to a call or what it answers can't be
@@ -69,11 +71,6 @@
     recorder: Recorder,
 }
 
-struct Request {
-    line: String,
-    body: Vec<u8>,
-}
-
 impl Relay {
     /// # Errors
     /// Its address can't be listened at.
@@ -323,7 +320,7 @@
     fn carry_out(&self, body: &[u8]) -> Value {
         let Ok(call) = serde_json::from_slice::<Value>(body) else { return json!({"error": "SYNTAX"}) };
         let changes = call["changes"].as_array().cloned().unwrap_or_default();
-        let orders: Vec<Order> = changes.iter().map_while(|order| self.read_order(order)).collect();
+        let orders: Vec<Order> = changes.iter().map_while(|order| read_order(order, self)).collect();
         self.orders.set(self.orders.get() + orders.len() as u64);
         let (messages, passed) = self.channel.borrow_mut().write(self.now(), &orders);
         let now = self.now();
@@ -389,71 +386,18 @@
             }
         }
     }
+}
 
-    fn read_order(&self, order: &Value) -> Option<Order> {
-        let tbl = || match &order["table"] {
-            Value::Null => Some(TblId::ALL),
-            number => Some(TblId(number.as_u64()? as u16)),
-        };
-        let host = || {
-            let name = order["server"].as_str()?;
-            Some(HostId(self.hosts.iter().position(|host| host == name)? as u32))
-        };
-        let classes = || {
-            let named = order["routes"].as_array().cloned().unwrap_or_default();
-            let place = |name: &Value| CLASSES.iter().position(|class| name == class.0);
-            let places: Option<Vec<usize>> = named.iter().map(place).collect();
-            Some(Products(places?.iter().map(|place| Products::one(ProductId(*place as u16)).0).sum()))
-        };
-        match order["op"].as_str()? {
-            "share" => Some(Order::Share { tbl: tbl()?, host: host()?, weight: order["weight"].as_f64()? }),
-            "clear" => Some(Order::Clear { tbl: tbl()? }),
-            "bind" => {
-                let proxy = ProxyId(order["proxy"].as_u64()? as u16);
-                Some(Order::Bind { proxy, tbl: tbl()?, products: classes()? })
-            }
-            "withdraw" => Some(Order::Withdraw { host: host()?, out: true }),
-            "restore" => Some(Order::Withdraw { host: host()?, out: false }),
-            "admit" => {
-                let policies = [Tries::One, Tries::AfterProof, Tries::AfterAny, Tries::TwiceAfterAny];
-                let tries = *policies.get(order["policy"].as_u64()? as usize)?;
-                let level = order["admit"].as_f64()?;
-                Some(Order::Admit { tbl: tbl()?, products: classes()?, level, tries })
-            }
-            "mark" => {
-                let mark = MarkId(order["nonce_out"].as_u64()? as u16);
-                Some(Order::Mark { mark, everyone: order["on"] == 1 })
-            }
-            _ => None,
-        }
+impl Names for Relay {
+    fn host(&self, name: &str) -> Option<HostId> {
+        Some(HostId(self.hosts.iter().position(|host| host == name)? as u32))
     }
-}
 
-async fn reply(writes: &mut OwnedWriteHalf, status: u16, body: &str) -> Option<()> {
-    let head = format!("HTTP/1.1 {status} said\r\ncontent-length: {}\r\n\r\n", body.len());
-    writes.write_all((head + body).as_bytes()).await.ok()
-}
+    fn class(&self, name: &str) -> Option<ProductId> {
+        Some(ProductId(CLASSES.iter().position(|class| class.0 == name)? as u16))
+    }
 
-/// The next request; none: the connection ended.
-async fn read(reads: &mut BufReader<tokio::net::tcp::OwnedReadHalf>) -> Option<Request> {
-    let (mut line, mut length) = (String::new(), 0);
-    loop {
-        let mut header = String::new();
-        if reads.read_line(&mut header).await.ok()? == 0 {
-            return None;
-        }
-        let header = header.trim_end();
-        if header.is_empty() {
-            break;
-        }
-        if line.is_empty() {
-            line = header.to_string();
-        }
-        if let Some(value) = header.to_ascii_lowercase().strip_prefix("content-length:") {
-            length = value.trim().parse().ok()?;
-        }
+    fn joined(&self, proxy: ProxyId) -> bool {
+        self.joined.borrow().contains(&proxy)
     }
-    let mut body = vec![0; length];
-    reads.read_exact(&mut body).await.ok()?;
-    Some(Request { line, body })
 }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -17,6 +17,7 @@
 mod run;
 mod serve;
 mod steward_side;
+mod wire;
 
 pub use faults::{Kind, Plan};
 pub use run::{run, until_said, Ran};
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -21,6 +21,7 @@
 use crate::pen::now_ns;
 use crate::proxies::World;
 use crate::serve::{full, lines, serve, Body};
+use crate::wire::{read_order, Names};
 use crate::Fault;
 
 pub struct Relay {
@@ -144,7 +145,7 @@
         self.calls.set(self.calls.get() + 1);
         let _ = writeln!(self.kept.borrow_mut(), "{{\"at\":{},\"call\":{call}}}", now_ns());
         let changes = call["changes"].as_array().cloned().unwrap_or_default();
-        let orders: Vec<Order> = changes.iter().map_while(|order| self.read(order)).collect();
+        let orders: Vec<Order> = changes.iter().map_while(|order| read_order(order, self.as_ref())).collect();
         let taken = orders.len();
         orders.iter().for_each(|order| self.keep(order));
         let orders = Rc::new(orders);
@@ -152,50 +153,6 @@
         full(&json!({"taken": taken}))
     }
 
-    fn read(&self, order: &Value) -> Option<Order> {
-        let tbl = || match &order["table"] {
-            Value::Null => Some(TblId::ALL),
-            one => Some(TblId(one.as_u64()? as u16)),
-        };
-        let host = || {
-            let name = order["server"].as_str()?;
-            let place = self.world.hosts.iter().position(|host| host.name == name)?;
-            Some(HostId(place as u32))
-        };
-        let products = || {
-            let named = order["routes"].as_array().cloned().unwrap_or_default();
-            let place = |name: &Value| self.world.products.iter().position(|p| name == p.name);
-            let places: Option<Vec<usize>> = named.iter().map(place).collect();
-            Some(Products(places?.iter().map(|place| 1 << place).sum()))
-        };
-        match order["op"].as_str()? {
-            "share" => Some(Order::Share {
-                tbl: tbl()?,
-                host: host()?,
-                weight: order["weight"].as_f64().filter(|w| *w >= 0.0)?,
-            }),
-            "clear" => Some(Order::Clear { tbl: tbl()? }),
-            "bind" => {
-                let proxy = u16::try_from(order["proxy"].as_u64()?).ok()?;
-                let joined = self.world.at(proxy) == Some(self.steward);
-                joined.then_some(Order::Bind { proxy: ProxyId(proxy), tbl: tbl()?, products: products()? })
-            }
-            "withdraw" => Some(Order::Withdraw { host: host()?, out: true }),
-            "restore" => Some(Order::Withdraw { host: host()?, out: false }),
-            "admit" => {
-                let tries = [Tries::One, Tries::AfterProof, Tries::AfterAny, Tries::TwiceAfterAny];
-                let tries = *tries.get(order["policy"].as_u64()? as usize)?;
-                let level = order["admit"].as_f64()?;
-                Some(Order::Admit { tbl: tbl()?, products: products()?, level, tries })
-            }
-            "mark" => Some(Order::Mark {
-                mark: MarkId(order["nonce_out"].as_u64()? as u16),
-                everyone: order["on"] == 1,
-            }),
-            _ => None,
-        }
-    }
-
     fn keep(&self, order: &Order) {
         match order {
             Order::Share { tbl, host, weight } => {
@@ -219,3 +176,17 @@
         }
     }
 }
+
+impl Names for Relay {
+    fn host(&self, name: &str) -> Option<HostId> {
+        Some(HostId(self.world.hosts.iter().position(|host| host.name == name)? as u32))
+    }
+
+    fn class(&self, name: &str) -> Option<ProductId> {
+        Some(ProductId(self.world.products.iter().position(|product| product.name == name)? as u16))
+    }
+
+    fn joined(&self, proxy: ProxyId) -> bool {
+        self.world.at(proxy.0) == Some(self.steward)
+    }
+}
