While calls do not get through, gates and routine orders wait, and newcomers count

Logs: for 3.5 s no call came up while the watch went on; 777 orders piled up and went as one call. Each order to all of them reached the proxies that had joined meanwhile, which the account had not counted, and lines of those that left faded though they had not been sent.

Change: the relay task tells when calls do not get through (Event::Behind). Meanwhile only drains, binds of who is not bound and what fills a bare table are decided; who joins counts for each order to all that waits; nothing fades. Traces of the relay task hold the new message; nothing else in them changed.

--- a/crates/books/src/waiting.rs
+++ b/crates/books/src/waiting.rs
@@ -13,6 +13,8 @@
     lines: BTreeMap<ProxyId, f64>,
     /// Lines for proxies that left; after a gap in the news they may get them all the same.
     lost: f64,
+    /// How many of its orders reach whoever is joined when they are carried out.
+    to_all: f64,
 }
 
 impl Sent {
@@ -31,6 +33,8 @@
     messages: BTreeMap<ProxyId, Ring>,
     /// Messages to proxies that left a moment ago.
     left_now: BTreeMap<ProxyId, Ring>,
+    /// Calls do not get through.
+    behind: bool,
 }
 
 impl Waiting {
@@ -51,11 +55,35 @@
     pub fn wrote(&mut self, now: f64, lines: BTreeMap<ProxyId, f64>) -> MarkId {
         let mark = MarkId(self.marks);
         lines.keys().for_each(|proxy| self.count(now, *proxy));
-        self.sent.push_back(Sent { mark, lines, lost: 0.0 });
+        self.sent.push_back(Sent { mark, lines, lost: 0.0, to_all: 0.0 });
         self.marks = self.marks.wrapping_add(1);
         mark
     }
 
+    /// Calls get through from here on, or do not.
+    pub fn behind(&mut self, on: bool) {
+        self.behind = on;
+    }
+
+    pub fn is_behind(&self) -> bool {
+        self.behind
+    }
+
+    /// So many orders of the last message reach whoever is joined when they are carried out.
+    pub fn reaches_all(&mut self, orders: usize) {
+        if let Some(last) = self.sent.back_mut() {
+            last.to_all = orders as f64;
+        }
+    }
+
+    /// The proxy joined. Guards the queue's limit where calls do not get through: orders to all that wait for the relay
+    /// reach it as well, in a message with a head of so many lines.
+    pub fn newcomer(&mut self, proxy: ProxyId, head: f64) {
+        let to_all: f64 = self.sent.iter().map(|sent| sent.to_all).sum();
+        let Some(last) = self.sent.back_mut().filter(|_| self.behind && to_all > 0.0) else { return };
+        *last.lines.entry(proxy).or_default() += to_all + head;
+    }
+
     /// What went with these marks, the first to the last, went as one call. An answer to any of them says nothing of the
     /// others' proxies: the first of them to get its message answers all marks of the call, and what the others are to
     /// get still waits. Guards the queue's limit after a time in which the relay was away: taken one by one, such
@@ -64,9 +92,10 @@
         let within = |sent: &Sent| sent.mark.0.wrapping_sub(first.0) <= last.0.wrapping_sub(first.0);
         let Some(place) = self.sent.iter().position(within) else { return };
         let count = self.sent.iter().skip(place).take_while(|sent| within(sent)).count();
-        let mut one = Sent { mark: last, lines: BTreeMap::new(), lost: 0.0 };
+        let mut one = Sent { mark: last, lines: BTreeMap::new(), lost: 0.0, to_all: 0.0 };
         for sent in self.sent.drain(place..place + count) {
             one.lost += sent.lost;
+            one.to_all += sent.to_all;
             sent.lines.into_iter().for_each(|(proxy, lines)| *one.lines.entry(proxy).or_default() += lines);
         }
         self.sent.insert(place, one);
@@ -92,7 +121,11 @@
     }
 
     /// Of the lines that waited for proxies that left, so many more have surely gone, the earliest first.
+    /// While calls do not get through nothing of the sort is sure.
     pub fn fade(&mut self, mut lines: f64) {
+        if self.behind {
+            lines = 0.0;
+        }
         for sent in &mut self.sent {
             let gone = sent.lost.min(lines);
             (sent.lost, lines) = (sent.lost - gone, lines - gone);
--- a/crates/books/tests/books.rs
+++ b/crates/books/tests/books.rs
@@ -338,3 +338,23 @@
     // Too old to say anything: as told at joining.
     assert_eq!([rate(&asked, 60_000.0, first), rate(&asked, 60_000.0, other)], [6.0, 6.0]);
 }
+
+/// Guards against more lines than were counted where orders wait for a relay: who joins meanwhile gets those to all too, and
+/// what waited for who left has not begun to leave.
+#[test]
+fn while_calls_do_not_get_through_newcomers_count_and_nothing_fades() {
+    let mut waiting = Waiting::default();
+    waiting.wrote(0.0, lines(&[(1, 10.0), (2, 10.0)]));
+    waiting.reaches_all(4);
+    waiting.newcomer(ProxyId(3), 7.0);
+    assert_eq!(waiting.lines(), 20.0, "a call that gets through has reached who was there");
+    waiting.behind(true);
+    waiting.newcomer(ProxyId(4), 7.0);
+    assert_eq!(waiting.lines(), 31.0);
+    waiting.left(ProxyId(2));
+    waiting.fade(5.0);
+    assert_eq!(waiting.lines(), 31.0);
+    waiting.behind(false);
+    waiting.fade(5.0);
+    assert_eq!(waiting.lines(), 26.0);
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -341,6 +341,11 @@
     Again {
         mark: MarkId,
     },
+    /// Calls do not get through, or do again: what is ordered meanwhile reaches the relay later, and whoever has joined
+    /// by then.
+    Behind {
+        on: bool,
+    },
     Due {
         timer: TimerId,
     },
--- a/crates/policy/src/hear.rs
+++ b/crates/policy/src/hear.rs
@@ -17,6 +17,7 @@
                 self.left(*proxy);
                 self.waiting.joined(*proxy, *fresh);
                 self.present.joined(*proxy, *fresh);
+                self.waiting.newcomer(*proxy, self.channel.head + 1.0);
                 self.proxies.insert(*proxy, Proxy::joined(*zone, *rate, *fresh));
             }
             Event::Left { proxy } => self.left(*proxy),
@@ -59,6 +60,10 @@
             }
             Event::Together { first, last } => self.waiting.together(*first, *last),
             Event::Again { mark } => self.waiting.again(now, *mark),
+            Event::Behind { on } => {
+                self.waiting.behind(*on);
+                self.urgent |= !*on;
+            }
             _ => {}
         }
     }
--- a/crates/policy/src/publish.rs
+++ b/crates/policy/src/publish.rs
@@ -46,6 +46,7 @@
         reply.bind(ROUTINE, &wanted);
         let probed = reply.probe(&wanted);
         let gone = reply.forget(&wanted);
+        let to_all = reply.orders.iter().filter(|order| matches!(order, Order::Withdraw { .. })).count();
         out.append(&mut reply.orders);
         let Reply { present, lines, held_up, .. } = reply;
         self.present = present;
@@ -59,6 +60,7 @@
         if !lines.is_empty() {
             self.stall.wrote(now);
             out.push(Order::Mark { mark: self.waiting.wrote(now, lines), everyone: false });
+            self.waiting.reaches_all(to_all);
         }
     }
 
@@ -98,6 +100,10 @@
         // What comes back rides on messages that go anyway, a drain's: it costs no head then.
         let rides = may == BACK && (fresh.is_empty() || self.waiting <= 0.0);
         let pace = channel.lines_per_s * if self.leaving && !rides { may.2 } else { may.3 };
+        // What can wait is not decided ahead of a relay that calls do not get through to: who joins meanwhile gets it too.
+        if waiting.is_behind() && (may == ROUTINE || may == BACK) {
+            return false;
+        }
         let fits = self.waiting + cost <= pace.min(may.0 * channel.backlog);
         self.refused |= !fits;
         if !fits || fresh.into_iter().any(full) {
@@ -117,6 +123,9 @@
         for host in out {
             let on = self.steward.hosts.get(&host).is_some_and(|host| host.standing == Standing::On);
             let may = if on { URGENT } else { DRAIN };
+            if on && self.steward.waiting.is_behind() {
+                continue;
+            }
             let whom = self.present.holders(host, &self.steward.proxies);
             let taken = self.take(may, &whom, 1.0, &[Order::Withdraw { host, out: true }]);
             self.present.held.extend(taken.then_some(host));
--- a/crates/policy/tests/policy/stalls.rs
+++ b/crates/policy/tests/policy/stalls.rs
@@ -102,3 +102,25 @@
     }
     fleet.until("withdraw host0", 1_000.0);
 }
+
+/// Guards against orders that pile up for a relay which calls do not get through to, and that reach more proxies than there
+/// were when they were decided: gates and routine wait, drains and binds of who is not bound do not.
+#[test]
+fn while_calls_do_not_get_through_only_what_a_rule_needs_is_decided() {
+    let mut fleet = Fleet::new(1, 6);
+    (0..2).for_each(|proxy| fleet.join(proxy));
+    fleet.run(1);
+    fleet.catch_up(2);
+    fleet.trace.clear();
+    fleet.say(&[Event::Behind { on: true }]);
+    fleet.probes(1, &[Outcome::Unreachable; 3]);
+    assert!(!fleet.trace.contains("withdraw"), "{}", fleet.trace);
+    fleet.list(0, Standing::Draining, None);
+    fleet.join(2);
+    fleet.run(1);
+    assert!(fleet.trace.contains("withdraw host0"), "{}", fleet.trace);
+    assert!(fleet.trace.contains("bind proxy2"), "{}", fleet.trace);
+    assert!(!fleet.trace.contains("withdraw host1"), "{}", fleet.trace);
+    fleet.hear(&[Event::Behind { on: false }]);
+    fleet.until("withdraw host1", 300.0);
+}
--- a/crates/steward/src/desk.rs
+++ b/crates/steward/src/desk.rs
@@ -342,6 +342,7 @@
                 self.seen(host, self.now());
                 self.events.push(Event::Probed { host, outcome, took, report });
             }
+            Heard::Behind { on } => self.events.push(Event::Behind { on }),
             Heard::Together { marks } => self.together(&marks),
             Heard::Again { mark } => {
                 self.judged(|judge, _| judge.unsure(mark));
--- a/crates/steward/src/heard.rs
+++ b/crates/steward/src/heard.rs
@@ -52,6 +52,10 @@
     Again {
         mark: MarkId,
     },
+    /// Calls do not get through to the relay, or do again.
+    Behind {
+        on: bool,
+    },
     /// The relay refused an order for good; one that binds names its proxy.
     NotTaken {
         binds: Option<ProxyId>,
--- a/crates/steward/src/relay/mod.rs
+++ b/crates/steward/src/relay/mod.rs
@@ -136,6 +136,7 @@
             if self.ties.signs.is_silent() {
                 self.ties.signs.await_mark(None);
                 queue.doubt = Some(Doubt::Silent);
+                self.behind(&mut queue, true).await;
             }
             while !queue.waiting.is_empty() {
                 while let Ok(reply) = replies.try_recv() {
@@ -165,6 +166,8 @@
                     }
                     Err(fault) => fault,
                 };
+                let refused_it = matches!(fault, CallFault::RefusedAfter(_) | CallFault::Syntax);
+                self.behind(&mut queue, !refused_it).await;
                 if let Some(hidden) = seldom.pass() {
                     let at = match fault {
                         CallFault::RefusedAfter(taken) => queue.waiting.get(taken),
@@ -209,6 +212,8 @@
                     }
                 }
             }
+            // Also where what waited was given up or dropped.
+            self.behind(&mut queue, false).await;
         }
     }
 
@@ -257,6 +262,7 @@
     async fn carried_out(&self, queue: &mut Queue, count: usize) {
         queue.doubt = None;
         queue.taken(count);
+        self.behind(queue, false).await;
         self.again(queue.straddling().as_slice()).await;
         let place = self.gate.ruled.get().place;
         if queue.waiting.is_empty() && place > 0 {
@@ -264,6 +270,13 @@
         }
     }
 
+    /// Tells, where it changes, whether calls get through.
+    async fn behind(&self, queue: &mut Queue, on: bool) {
+        if std::mem::replace(&mut queue.behind, on) != on {
+            drop(self.ties.desk.send(Heard::Behind { on }).await);
+        }
+    }
+
     /// One step towards knowing what to do about an unsure call: the pause before its repeat, or an inquiry whether the relay
     /// answers at all. Guards against a copy of the call for each attempt while the relay is silent: each may be carried
     /// out, so each counts as lines that wait, and drains stood behind them for ten seconds after the relay was back.
--- a/crates/steward/src/relay/queue.rs
+++ b/crates/steward/src/relay/queue.rs
@@ -28,6 +28,8 @@
     pub doubt: Option<Doubt>,
     /// Orders of the reply that is first in line have been taken already.
     begun: bool,
+    /// Calls do not get through.
+    pub behind: bool,
     /// The last start of the decisions of which something was dropped; the event loop starts them anew.
     pub over: Option<u64>,
 }
--- a/crates/steward/tests/steward/governed.rs
+++ b/crates/steward/tests/steward/governed.rs
@@ -429,7 +429,9 @@
         &[Dialled::Refused, Dialled::Refused, Dialled::Up(&[Then::Silence]), Dialled::Up(&[Then::Silence])];
     let replies = vec![(470, ruled(2, 0)), (510, ruled(2, 0))];
     expect![[r#"
+        470 -> Behind { on: true }
         520 -> Fenced { life: 0, orders: [Clear { tbl: TblId(0) }, Clear { tbl: TblId(1) }] }
+        520 -> Behind { on: false }
         2500 fenced calls 1
     "#]]
     .assert_eq(&written(script, replies));
@@ -445,9 +447,13 @@
     // The desk starts the decisions anew once it hears of what was dropped, and holds a lease again by then.
     let replies = vec![(300, ruled(2, 0)), (400, ruled(2, 0)), (700, ruled(3, 1)), (800, ruled(3, 1))];
     expect![[r#"
+        300 -> Behind { on: true }
         534 -> Fenced { life: 0, orders: [Clear { tbl: TblId(0) }, Clear { tbl: TblId(1) }] }
+        534 -> Behind { on: false }
+        700 -> Behind { on: true }
         925 a connection
         925 POST /txn {"changes":[2,3]}
+        925 -> Behind { on: false }
         925 POST /txn {"changes":[3]}
         2500 fenced calls 1
     "#]]
--- a/crates/steward/tests/steward/relay.rs
+++ b/crates/steward/tests/steward/relay.rs
@@ -80,6 +80,7 @@
     expect![[r#"
         0 a connection
         0 POST /txn {"changes":[1,2]}
+        55 -> Behind { on: true }
         55 closed by the steward
         546 a connection
         546 POST /txn {"changes":[]}
@@ -90,6 +91,7 @@
         1478 -> Again { mark: MarkId(0) }
         1478 -> Together { marks: [MarkId(0), MarkId(1)] }
         1478 POST /txn {"changes":[1,2,3]}
+        1478 -> Behind { on: false }
     "#]]
     .assert_eq(&calls(script, &[(0, &["1", "2"]), (600, &["3"])]));
 }
@@ -105,10 +107,12 @@
         Dialled::Up(Box::leak(Box::new([busy, busy, Answer("{\"taken\":1}")]))),
     ]));
     expect![[r#"
+        0 -> Behind { on: true }
         352 a connection
         352 POST /txn {"changes":[1]}
         402 POST /txn {"changes":[1]}
         452 POST /txn {"changes":[1]}
+        452 -> Behind { on: false }
     "#]]
     .assert_eq(&calls(script, &[(0, &["1"])]));
 }
@@ -166,6 +170,7 @@
     expect![[r#"
         0 a connection
         0 POST /txn {"changes":[1,2]}
+        0 -> Behind { on: true }
         0 closed by the steward
         491 a connection
         491 POST /txn {"changes":[]}
@@ -201,6 +206,7 @@
         8348 POST /txn {"changes":[]}
         8348 -> Again { mark: MarkId(0) }
         8348 POST /txn {"changes":[1,2]}
+        8348 -> Behind { on: false }
         8348 POST /txn {"changes":[1,2]}
     "#]]
     .assert_eq(&calls(script, &[(0, &["1", "2"])]));
@@ -222,6 +228,7 @@
     expect![[r#"
         0 a connection
         0 POST /txn {"changes":[1,2]}
+        55 -> Behind { on: true }
         55 closed by the steward
         546 a connection
         546 POST /txn {"changes":[]}
@@ -236,6 +243,7 @@
         1864 POST /txn {"changes":[]}
         1864 -> Again { mark: MarkId(0) }
         1864 POST /txn {"changes":[1,2]}
+        1864 -> Behind { on: false }
     "#]]
     .assert_eq(&calls(script, &[(0, &["1", "2"])]));
 }
@@ -251,8 +259,10 @@
         0 a connection
         0 POST /txn {"changes":[1]}
         100 POST /txn {"changes":[2]}
+        155 -> Behind { on: true }
         155 closed by the steward
         400 a connection
+        400 -> Behind { on: false }
         400 POST /txn {"changes":[3]}
     "#]]
     .assert_eq(&calls_with(None, script, replies, &[(200, Sign::Answered(0)), (400, Sign::Answered(1))]));
@@ -275,13 +285,16 @@
         400 POST /txn {"changes":[]}
         455 closed by the steward
         500 a connection
+        500 -> Behind { on: true }
         500 POST /txn {"changes":[]}
         555 closed by the steward
         780 a connection
         780 POST /txn {"changes":[]}
         780 POST /txn {"changes":[2]}
+        780 -> Behind { on: false }
         780 POST /txn {"changes":[]}
         2500 POST /txn {"changes":[3]}
+        2555 -> Behind { on: true }
         2555 closed by the steward
     "#]]
     .assert_eq(&calls_with(None, script, replies, shown));
@@ -311,9 +324,11 @@
         Box::leak(Box::new([(0, &["1"][..]), (10, &["2"]), (20, orders), (30, orders)]));
     let script = &[Dialled::Refused, Dialled::Up(&[Answer("{\"taken\":3}"), Answer("{\"taken\":1}")])];
     expect![[r#"
+        0 -> Behind { on: true }
         50 a connection
         50 -> Together { marks: [MarkId(0), MarkId(1), MarkId(2)] }
         50 POST /txn 35018 bytes
+        50 -> Behind { on: false }
         50 POST /txn 35014 bytes
     "#]]
     .assert_eq(&calls(script, replies));
@@ -331,12 +346,14 @@
         0 a connection
         0 POST /txn {"changes":[1]}
         200 POST /txn {"changes":[2]}
+        255 -> Behind { on: true }
         255 closed by the steward
         746 a connection to 127.0.0.1:2
         746 POST /txn {"changes":[]}
         746 -> Again { mark: MarkId(1) }
         746 -> Together { marks: [MarkId(1), MarkId(2)] }
         746 POST /txn {"changes":[2,3]}
+        746 -> Behind { on: false }
         900 POST /txn {"changes":[4]}
     "#]]
     .assert_eq(&calls_to(Some(300), script, &[(0, &["1"]), (200, &["2"]), (320, &["3"]), (900, &["4"])]));
