--- a/crates/steward/tests/crossing_lifecycle/restart.rs
+++ b/crates/steward/tests/crossing_lifecycle/restart.rs
@@ -9,7 +9,9 @@
 
 use serde_json::{json, Value};
 
-use crate::stand_in::{list, nobody, orders, take, Client, Configuration, Daemon, Peer, Relay, BOUND};
+use crate::stand_in::{
+    address, list, nobody, orders, take, Client, Configuration, Daemon, Peer, Relay, BOUND,
+};
 use crate::{
     at_once, at_the_end, bound, closed, configuration, ended_well, serving, settled, terminated_well, READY,
 };
@@ -88,8 +90,10 @@
 #[test]
 fn a_sigterm_while_another_process_holds_the_address_is_an_end_and_no_crash() {
     for signal in ["-TERM", "-INT"] {
-        let configuration = configuration(nobody(), nobody());
-        let _held = TcpListener::bind(configuration.listen).expect("the address");
+        // Bound once: a port that is let go in between may be another test's by then.
+        let held = TcpListener::bind((address::own(), 0)).expect("an address");
+        let listen = held.local_addr().expect("its address");
+        let configuration = Configuration { listen, ..configuration(nobody(), nobody()) };
         let mut daemon = Daemon::start(&configuration);
         daemon.says("is held by another process");
         daemon.signal(signal);
