--- a/crates/steward/tests/drains/drawn.rs
+++ b/crates/steward/tests/drains/drawn.rs
@@ -26,3 +26,15 @@
 fn a_watch_that_loses_all_answers_for_seconds_delays_no_drain() {
     assert_kept(&[DrillPlan::drawn(134, FAULTS)]);
 }
+
+/// Proxies that join while the relay is silent, most of them with tables of before, are bound late once it is back.
+#[test]
+fn a_proxy_that_joins_in_a_silence_is_bound_within_the_grace_of_drains() {
+    assert_kept(&[DrillPlan::drawn(126, FAULTS)]);
+}
+
+/// The same with fewer proxies; at rest it fails at times.
+#[test]
+fn a_proxy_that_joins_beside_failing_calls_is_bound_within_the_grace_of_drains() {
+    assert_kept(&[DrillPlan::drawn(412, FAULTS)]);
+}
