A late drain is accounted for: what holds binds up is logged, the drill traces and times itself

Logs and counters could not tell why proxies that joined in a silence were late. The decisions now log while proxies wait for over a second to be bound, how many, for what (room in the channel, limit of messages, a table in which a host serves) and how many lines may wait, each second and once at the end.

The drill traces each bind, withdrawal and message of a proxy, from the call to its application, and prints that for late pairs.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 use amberarch_core::*;
 use std::collections::{BTreeMap, BTreeSet};
 
+mod bind_wait;
 mod health;
 mod hear;
 mod levels;
@@ -15,7 +16,7 @@
 mod stall;
 
 pub use parts::{BESIDE, FULL_LOAD};
-use {health::*, levels::*, parts::*, plan::*, seats::*, stall::*};
+use {bind_wait::*, health::*, levels::*, parts::*, plan::*, seats::*, stall::*};
 
 pub struct Steward {
     post: Post,
@@ -32,6 +33,7 @@
     stall: Stall,
     /// A withdrawal waits for room in the channel.
     held_up: bool,
+    bind_wait: BindWait,
     hosts: BTreeMap<HostId, Host>,
     proxies: BTreeMap<ProxyId, Proxy>,
     told: Told,
@@ -92,7 +94,7 @@
         let (told, present) = (Told::new(&products, post.zones), Present::new(post.zones));
         Steward {
             post, products, sla, sidecars, warmup, sums, channel, roster, waiting: Waiting::default(),
-            stall: Stall::default(), held_up: false,
+            stall: Stall::default(), held_up: false, bind_wait: BindWait::default(),
             cover: 0.0, best: 0.0, room: 0.0, failures: 0, ask_at: f64::MIN, spill: BTreeMap::new(), told,
             present, fresh: true, urgent: false, levels: BTreeMap::new(), kinds: BTreeMap::new(),
             hosts: BTreeMap::new(), proxies: BTreeMap::new(), usual_voided: 0.0, bounds: BTreeMap::new(),
--- a/crates/policy/src/publish.rs
+++ b/crates/policy/src/publish.rs
@@ -26,6 +26,8 @@
     held_up: usize,
     /// Something found no room in the channel.
     refused: bool,
+    /// How many proxies without a table of this controller are not bound now, and what holds them back.
+    unbound: BTreeMap<Refusal, usize>,
     orders: Vec<Order>,
 }
 
@@ -34,10 +36,11 @@
         let (present, waiting) = (std::mem::take(&mut self.present), self.waiting.lines());
         let (passed, lines, orders) = (BTreeSet::new(), BTreeMap::new(), Vec::new());
         let leaving = self.hosts.values().any(|host| host.standing != Standing::On);
-        let (held_up, refused) = (0, false);
+        let (held_up, refused, unbound) = (0, false, BTreeMap::new());
         #[rustfmt::skip]
-        let mut reply =
-            Reply { now, steward: self, present, passed, lines, waiting, leaving, held_up, refused, orders };
+        let mut reply = Reply {
+            now, steward: self, present, passed, lines, waiting, leaving, held_up, refused, unbound, orders,
+        };
         reply.withdraw(&wanted);
         reply.narrow(&wanted);
         reply.fill_tables(ROUTINE, &wanted);
@@ -48,12 +51,14 @@
         let gone = reply.forget(&wanted);
         let to_all = reply.orders.iter().filter(|order| matches!(order, Order::Withdraw { .. })).count();
         out.append(&mut reply.orders);
-        let Reply { present, lines, held_up, .. } = reply;
+        let Reply { present, lines, held_up, unbound, .. } = reply;
         self.present = present;
         if let Some(lines) = probed {
             self.stall.probed(lines);
         }
         self.tell_held_up(held_up, waiting, out);
+        let waits = self.bind_wait.look(now, &unbound, waiting);
+        out.extend(waits.map(|text| Order::Log { text }));
         let back = self.hosts.iter_mut().filter(|(id, _)| back.contains(id));
         back.for_each(|(_, host)| host.let_in_at = now);
         self.hosts.retain(|id, _| !gone.contains(id));
@@ -92,6 +97,14 @@
 
     /// Takes the orders in if backlog and message limit allow; `each` lines go to each of `whom`.
     fn take(&mut self, may: (f64, f64, f64, f64), whom: &[ProxyId], each: f64, orders: &[Order]) -> bool {
+        self.admit(may, whom, each, orders).is_ok()
+    }
+
+    /// The same, with what holds them back.
+    #[rustfmt::skip]
+    fn admit(
+        &mut self, may: (f64, f64, f64, f64), whom: &[ProxyId], each: f64, orders: &[Order],
+    ) -> Result<(), Refusal> {
         let Steward { channel, waiting, .. } = self.steward;
         let (span, most) = (channel.messages_over + 2.0 * BUCKET, may.1 * f64::from(channel.messages));
         let full = |id: &ProxyId| channel.messages > 0 && waiting.messages(self.now, span, *id) + 1.0 > most;
@@ -102,17 +115,20 @@
         let pace = channel.lines_per_s * if self.leaving && !rides { may.2 } else { may.3 };
         // What can wait is not decided ahead of a relay that calls do not get through to: who joins meanwhile gets it too.
         if waiting.is_behind() && (may == ROUTINE || may == BACK) {
-            return false;
+            return Err(Refusal::CallsFail);
         }
         let fits = self.waiting + cost <= pace.min(may.0 * channel.backlog);
         self.refused |= !fits;
-        if !fits || fresh.into_iter().any(full) {
-            return false;
+        if !fits {
+            return Err(Refusal::ChannelFull);
+        }
+        if fresh.into_iter().any(full) {
+            return Err(Refusal::MessageLimit);
         }
         self.waiting += cost;
         whom.iter().for_each(|proxy| *self.lines.entry(*proxy).or_insert(channel.head + 1.0) += each);
         self.orders.extend_from_slice(orders);
-        true
+        Ok(())
     }
 
     /// Drains and gates, in the order of their hosts. A drain that has no room yet keeps its place: guards against a withdrawal
@@ -225,23 +241,32 @@
             let may = if least == DRAIN || bare == Some(false) { least } else { URGENT };
             // Nobody is moved to a table before something in it serves.
             let serves = bare == Some(true) || least == DRAIN || !self.present.bare(&tbl);
-            if serves {
-                self.bind_one(may, proxy, tbl, products);
+            let bound =
+                if serves { self.bind_one(may, proxy, tbl, products) } else { Err(Refusal::NothingServes) };
+            if let (Err(refusal), None) = (bound, bare) {
+                *self.unbound.entry(refusal).or_default() += 1;
             }
         }
     }
 
-    fn bind_one(&mut self, may: (f64, f64, f64, f64), proxy: ProxyId, tbl: Tbl, products: Products) -> bool {
+    fn bind_one(
+        &mut self,
+        may: (f64, f64, f64, f64),
+        proxy: ProxyId,
+        tbl: Tbl,
+        products: Products,
+    ) -> Result<(), Refusal> {
         let steward = self.steward;
         let lines = self.present.lines().get(&tbl);
         let clean = lines.is_some_and(|lines| !lines.keys().any(|id| steward.outside(&tbl, id)));
         let each = self.bind_lines(&tbl);
         let bind = Order::Bind { proxy, tbl: self.present.number(tbl), products };
-        let taken = clean && self.take(may, &[proxy], each, &[bind]);
-        if taken {
-            self.present.bind(proxy, tbl, products);
+        if !clean {
+            return Err(Refusal::OutsideReach);
         }
-        taken
+        self.admit(may, &[proxy], each, &[bind])?;
+        self.present.bind(proxy, tbl, products);
+        Ok(())
     }
 
     /// What a bind to the table costs beside the message's head, at the most.
@@ -262,7 +287,7 @@
         let ((proxy, tbl), products) = wanted.binds[place];
         let lines = self.cost(&[proxy], self.bind_lines(&tbl));
         let fits = lines <= room && !self.present.bare(&tbl) && !self.passed.contains(&tbl);
-        (fits && self.bind_one(PROBE, proxy, tbl, products)).then_some(lines)
+        (fits && self.bind_one(PROBE, proxy, tbl, products).is_ok()).then_some(lines)
     }
 
     /// Of one that is gone, in no table, and unknown to proxies not bound yet nothing stays; so of idle tables.
--- a/crates/rig/src/drill/mod.rs
+++ b/crates/rig/src/drill/mod.rs
@@ -8,9 +8,11 @@
 mod discovery;
 mod drawn;
 mod http;
+mod lag;
 mod proxies;
 mod relay;
 mod settings;
+mod trace;
 mod traffic;
 
 use std::cell::RefCell;
@@ -18,7 +20,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use amberarch_histories::{DrainBounds, Drains, HostState, Line, Verdict, What};
+use amberarch_core::{HostId, ProxyId};
+use amberarch_histories::{DrainBounds, Drains, HostState, Line, Verdict, Violation, What};
 use rustix::process::Signal;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -31,9 +34,11 @@
 use crate::Fault;
 
 use discovery::Discovery;
+use lag::{Lag, LAG_MOST};
 use proxies::Proxies;
 use relay::Relay;
 pub use settings::Settings;
+use trace::Trace;
 use traffic::Traffic;
 
 /// A machine with other work to do may take so long to start a process.
@@ -194,6 +199,36 @@
     pub log: String,
     /// Each call of orders: when it came, what the relay did with it, how many lines waited, and its orders by kind.
     pub calls: Vec<String>,
+    /// The longest time that the drill itself stood still.
+    pub lag: Duration,
+    trace: Trace,
+    /// When the relay's clock began, by the clock of the history, ns.
+    start_ns: u64,
+}
+
+impl Drilled {
+    /// The drill stood still for so long that it proves nothing, whatever its history says.
+    pub fn is_void(&self) -> bool {
+        self.lag > LAG_MOST
+    }
+
+    /// What became of the orders that would have kept a late drain, in words; nothing where the violation names no proxy.
+    pub fn account(&self, late: &Violation) -> Vec<String> {
+        let [told, joined] = &late.witness[..] else { return vec![] };
+        let What::ListTold { host, .. } = &told.what else { return vec![] };
+        let proxy = joined.who.strip_prefix("proxy:").and_then(|number| number.parse().ok());
+        let host = host.strip_prefix('h').and_then(|number| number.parse().ok());
+        let (Some(proxy), Some(host)) = (proxy, host) else { return vec![] };
+        let since_start = |at: u64| at.saturating_sub(self.start_ns) as f64 / 1e6;
+        let (told_at, joined_at, ended_at) =
+            (since_start(told.at), since_start(joined.at), since_start(late.at));
+        let mut account = vec![format!(
+            "told at {told_at:.0} ms, joined at {joined_at:.0} ms, could send until {ended_at:.0} ms"
+        )];
+        let steps = self.trace.about(ProxyId(proxy), HostId(host));
+        account.extend(steps);
+        account
+    }
 }
 
 /// Where the stand-ins write what they see.
@@ -227,11 +262,13 @@
     let reachable = Rc::new(reachable);
     let proxies = Proxies::new(settings, &hosts, recorder.clone());
     let discovery = Discovery::stand(&block, &hosts, recorder.clone()).await?;
+    let start_ns = now_ns();
     let relay = Relay::stand(&block, settings, &hosts, proxies.clone(), recorder.clone()).await?;
     let (news, _) = watch::channel(0);
     let member = start(binary, &block, settings, &hosts, folder, &news).await?;
     collector::until_ready(block.listens(0)).await?;
     let start = Instant::now();
+    let lag = Lag::measured();
     relay.join_all(start);
     let traffic = Traffic::new(settings, &hosts, proxies.clone());
     spawn_local(collector::report(block.listens(0), settings.clone(), traffic));
@@ -261,7 +298,8 @@
     let (most_waiting, passed, orders) = relay.limits();
     let calls = relay.calls();
     let (drains, backlog) = (drains.finish(), settings.channel.backlog);
-    Ok(Drilled { history, drains, most_waiting, backlog, passed, orders, log, calls })
+    let (lag, trace) = (lag.longest(), relay.take_trace());
+    Ok(Drilled { history, drains, most_waiting, backlog, passed, orders, log, calls, lag, trace, start_ns })
 }
 
 /// The hosts, and what says of each whether it can be reached.
--- a/crates/rig/src/drill/relay.rs
+++ b/crates/rig/src/drill/relay.rs
@@ -20,6 +20,7 @@
 use super::http::{read, reply, Request};
 use super::proxies::Proxies;
 use super::settings::{Settings, CLASSES};
+use super::trace::{Step, Trace};
 use super::traffic::Traffic;
 use super::{
     CallFault, FailedCalls, LostMarks, Move, Recorder, Silence, SilenceEnds, SilentCalls, CONTROLLER,
@@ -68,6 +69,7 @@
     orders: Cell<u64>,
     passed: RefCell<Vec<String>>,
     calls: RefCell<Vec<String>>,
+    trace: RefCell<Trace>,
     recorder: Recorder,
 }
 
@@ -101,6 +103,7 @@
             orders: Cell::new(0),
             passed: RefCell::default(),
             calls: RefCell::default(),
+            trace: RefCell::default(),
             recorder,
         });
         spawn_local(relay.clone().accept(listener));
@@ -118,11 +121,31 @@
         self.calls.borrow().clone()
     }
 
+    /// What became of orders to single proxies.
+    pub fn take_trace(&self) -> Trace {
+        self.trace.take()
+    }
+
+    fn trace_call(&self, order: &Value, outcome: &str) {
+        let at = self.now();
+        let outcome = outcome.to_string();
+        match read_order(order, self) {
+            Some(Order::Bind { proxy, tbl, .. }) => {
+                self.trace.borrow_mut().record(at, Some(proxy), Step::BindCalled { table: tbl, outcome });
+            }
+            Some(Order::Withdraw { host, out: true }) => {
+                self.trace.borrow_mut().record(at, None, Step::WithdrawCalled { host, outcome });
+            }
+            _ => {}
+        }
+    }
+
     fn note_call(&self, body: &[u8], done: &str) {
         let Ok(call) = serde_json::from_slice::<Value>(body) else { return };
         let mut kinds = BTreeMap::<String, usize>::new();
         let changes = call["changes"].as_array().cloned().unwrap_or_default();
         for order in &changes {
+            self.trace_call(order, done);
             let op = order["op"].as_str().unwrap_or("?");
             let host = order["server"].as_str().filter(|_| op == "withdraw" || op == "restore").unwrap_or("");
             *kinds.entry(format!("{op} {host}")).or_default() += 1;
@@ -142,6 +165,7 @@
                 relay.channel.borrow_mut().join(proxy);
                 relay.joined.borrow_mut().push(proxy);
                 relay.proxies.joins(proxy);
+                relay.trace.borrow_mut().record(relay.now(), Some(proxy), Step::Joined { fresh: true });
                 relay.say(relay.joins(proxy, true));
             }
         });
@@ -186,6 +210,7 @@
         self.joined.borrow_mut().retain(|other| *other != proxy);
         self.channel.borrow_mut().leave(proxy);
         self.proxies.leaves(proxy);
+        self.trace.borrow_mut().record(self.now(), Some(proxy), Step::Left);
         *self.streams.borrow_mut().entry(proxy).or_default() += 1;
         self.say(json!({"type": "CLOSED", "object": {"proxy": proxy.0}}).to_string());
         sleep_until(start + Duration::from_millis(plan.joins)).await;
@@ -193,6 +218,7 @@
         self.channel.borrow_mut().join(proxy);
         self.joined.borrow_mut().push(proxy);
         self.proxies.joins(proxy);
+        self.trace.borrow_mut().record(self.now(), Some(proxy), Step::Joined { fresh: plan.fresh });
         self.say(self.joins(proxy, plan.fresh));
     }
 
@@ -335,16 +361,22 @@
     async fn deliver(self: Rc<Relay>) {
         loop {
             let next = self.on_the_way.borrow_mut().pop_front();
-            let Some((stream, Message { proxy, at, orders })) = next else {
+            let Some((stream, message)) = next else {
                 self.sent.notified().await;
                 continue;
             };
-            sleep_until(self.start.get() + Duration::from_secs_f64(at / 1e3)).await;
-            if stream != self.stream(proxy) || !self.proxies.applies(proxy, &orders) || self.loses_marks.get()
-            {
+            let due = self.start.get() + Duration::from_secs_f64(message.at / 1e3);
+            sleep_until(due).await;
+            let Message { proxy, ref orders, .. } = message;
+            if stream != self.stream(proxy) || !self.proxies.applies(proxy, orders) {
+                self.trace.borrow_mut().record(self.now(), Some(proxy), Step::Undelivered);
+                continue;
+            }
+            self.trace.borrow_mut().applied(self.now(), &message, due.elapsed().as_secs_f64() * 1e3);
+            if self.loses_marks.get() {
                 continue;
             }
-            for order in &orders {
+            for order in orders {
                 if let Order::Mark { mark, .. } = order {
                     let object = json!({"proxy": proxy.0, "mark": mark.0, "took_ms": 200.0});
                     self.say(json!({"type": "ACK", "object": object}).to_string());
--- /dev/null
+++ b/crates/rig/src/drill/trace.rs
@@ -0,0 +1,82 @@
+//! What became of orders to single proxies, so that it can be told where the time of a late drain went.
+
+use std::fmt;
+
+use amberarch_core::{HostId, Order, ProxyId, TblId};
+use amberarch_emulator::Message;
+
+/// One step of an order or of its proxy.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    Joined {
+        fresh: bool,
+    },
+    Left,
+    /// A call binds the proxy; what the relay did with the call.
+    BindCalled {
+        table: TblId,
+        outcome: String,
+    },
+    /// A call withdraws the host.
+    WithdrawCalled {
+        host: HostId,
+        outcome: String,
+    },
+    /// The proxy applied a message with these.
+    Applied {
+        bound_to: Option<TblId>,
+        withdrawn: Vec<HostId>,
+        /// How long after its due time the drill handed the message over, ms.
+        lag: f64,
+    },
+    /// The message was on its way when the proxy left.
+    Undelivered,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    /// From the start of the drill, ms.
+    at: f64,
+    /// None: it concerns all proxies.
+    proxy: Option<ProxyId>,
+    step: Step,
+}
+
+impl fmt::Display for Entry {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(to, "{:.0} ms: {:?}", self.at, self.step)
+    }
+}
+
+/// The steps of all orders, in the order in which they happened.
+#[derive(Default)]
+pub struct Trace(Vec<Entry>);
+
+impl Trace {
+    pub fn record(&mut self, at: f64, proxy: Option<ProxyId>, step: Step) {
+        self.0.push(Entry { at, proxy, step });
+    }
+
+    /// The proxy got a message, so many ms after it was due.
+    pub fn applied(&mut self, at: f64, message: &Message, lag: f64) {
+        let mut bound_to = None;
+        let mut withdrawn = Vec::new();
+        for order in &message.orders {
+            match order {
+                Order::Bind { tbl, .. } => bound_to = Some(*tbl),
+                Order::Withdraw { host, out: true } => withdrawn.push(*host),
+                _ => {}
+            }
+        }
+        self.record(at, Some(message.proxy), Step::Applied { bound_to, withdrawn, lag });
+    }
+
+    /// What concerns the proxy, and of withdrawals what concerns the host.
+    pub fn about(&self, proxy: ProxyId, host: HostId) -> Vec<String> {
+        let concerns = |entry: &&Entry| match &entry.step {
+            Step::WithdrawCalled { host: withdrawn, .. } => *withdrawn == host,
+            _ => entry.proxy == Some(proxy),
+        };
+        self.0.iter().filter(concerns).map(Entry::to_string).collect()
+    }
+}
