Where the proxy in turn can't be bound, the probe of a stalled channel goes to another

Callers saw: tables frozen for good.

Cause: answers to marks were lost, and the probe that asks anew is a bind of the proxy in turn. Where that proxy's table had no host that serves, no probe went, and the turn never moved on; its hosts could be let in only with the room that an answer to the probe would give.

The first proxy from the turn on that can be bound is taken, and one that stays at its own table may be bound to it anew whether something serves there or not, so a probe goes wherever one proxy is bound or can be. The test fails without: no bind in 3 s.

--- a/crates/policy/src/publish.rs
+++ b/crates/policy/src/publish.rs
@@ -53,8 +53,8 @@
         out.append(&mut reply.orders);
         let Reply { present, lines, held_up, unbound, .. } = reply;
         self.present = present;
-        if let Some(lines) = probed {
-            self.stall.probed(lines);
+        if let Some((place, lines)) = probed {
+            self.stall.probed(place, lines);
         }
         self.tell_held_up(held_up, waiting, out);
         let waits = self.bind_wait.look(now, &unbound, waiting);
@@ -276,18 +276,27 @@
     }
 
     /// Where what is wanted finds no room and no answer comes, one proxy is bound, anew where it is bound already,
-    /// whatever counts as waiting. Gives the probe's lines.
-    fn probe(&mut self, wanted: &Plan) -> Option<f64> {
+    /// whatever counts as waiting. Gives the probe's place among the wanted binds and its lines.
+    ///
+    /// The first that can be bound is taken. Guards against a probe that is never sent, as the proxy in turn would be bound to
+    /// a table in which nothing serves: its hosts could not be let in before an answer came.
+    fn probe(&mut self, wanted: &Plan) -> Option<(usize, f64)> {
         let Steward { channel, stall, .. } = self.steward;
         if !self.refused || !self.lines.is_empty() {
             return None;
         }
         let room = stall.probe(self.now, channel.transit_worst, channel.backlog)?;
-        let place = stall.count.checked_rem(wanted.binds.len())?;
-        let ((proxy, tbl), products) = wanted.binds[place];
-        let lines = self.cost(&[proxy], self.bind_lines(&tbl));
-        let fits = lines <= room && !self.present.bare(&tbl) && !self.passed.contains(&tbl);
-        (fits && self.bind_one(PROBE, proxy, tbl, products).is_ok()).then_some(lines)
+        let count = wanted.binds.len();
+        let first = stall.next.checked_rem(count)?;
+        (first..first + count).map(|place| place % count).find_map(|place| {
+            let ((proxy, tbl), products) = wanted.binds[place];
+            let lines = self.cost(&[proxy], self.bind_lines(&tbl));
+            let stays = self.present.using(proxy, products) == [tbl];
+            let serves = stays || !self.present.bare(&tbl);
+            let fits = lines <= room && serves && !self.passed.contains(&tbl);
+            let bound = fits && self.bind_one(PROBE, proxy, tbl, products).is_ok();
+            bound.then_some((place, lines))
+        })
     }
 
     /// Of one that is gone, in no table, and unknown to proxies not bound yet nothing stays; so of idle tables.
--- a/crates/policy/src/stall.rs
+++ b/crates/policy/src/stall.rs
@@ -18,23 +18,23 @@
     /// Probes since the last answer, and their lines.
     probes: u32,
     lines: f64,
-    /// Probes of all times, so that each goes to another proxy.
-    pub count: usize,
+    /// The place among the binds behind that of the last probe, so that each goes to another proxy.
+    pub next: usize,
 }
 
 impl Stall {
     pub fn answered(&mut self, now: f64) {
-        *self = Stall { moved_at: now, count: self.count, ..Stall::default() };
+        *self = Stall { moved_at: now, next: self.next, ..Stall::default() };
     }
 
     pub fn wrote(&mut self, now: f64) {
         self.moved_at = now;
     }
 
-    pub fn probed(&mut self, lines: f64) {
+    pub fn probed(&mut self, place: usize, lines: f64) {
         self.probes += 1;
         self.lines += lines;
-        self.count += 1;
+        self.next = place + 1;
     }
 
     /// How many lines a probe may have now; none: none is due.
--- a/crates/policy/tests/policy/stalls.rs
+++ b/crates/policy/tests/policy/stalls.rs
@@ -124,3 +124,31 @@
     fleet.hear(&[Event::Behind { on: false }]);
     fleet.until("withdraw host1", 300.0);
 }
+
+/// Seed 412 of the drills: proxies waited "for a table in which a host serves" for good while nothing waited in the channel,
+/// as answers had been lost and no probe was sent. The probe in turn was a bind to a table in which nothing serves; its hosts
+/// could be let in only once an answer had come.
+#[test]
+fn where_no_table_serves_a_probe_goes_all_the_same() {
+    let mut fleet = Fleet::with_channel(1, 6, 640.0);
+    (0..2).for_each(|proxy| fleet.join(proxy));
+    fleet.run(1);
+    for host in 1..6 {
+        fleet.probes(host, &[Outcome::Unreachable; 3]);
+    }
+    fleet.catch_up(2);
+    let more: Vec<(u16, bool)> = (2..PROXIES).map(|proxy| (proxy, true)).collect();
+    fleet.join_all(&more);
+    fleet.run(1);
+    fleet.trace.clear();
+    // The last host that served: gates count for nothing now, and what is to be let in finds no room.
+    fleet.list(0, Standing::Draining, None);
+    assert!(fleet.trace.contains("withdraw host0"), "{}", fleet.trace);
+    assert!(!fleet.trace.contains("restore"), "{}", fleet.trace);
+    fleet.trace.clear();
+    fleet.until(" bind ", 3_000.0);
+    let bound: u16 =
+        fleet.trace.split("proxy").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok()).unwrap();
+    fleet.answers(bound);
+    fleet.until("restore host1", 1_000.0);
+}
