While hosts leave, a proxy whose grace ends is bound before gates and returns go

Where the time went (proxy 94): joined at 10.8 s, relay back at 17.5 s, bind called at 21.6 s, applied 0.5 s later; the drill lagged 2 ms at most. The decisions logged 56, then 42, then 35 proxies that wait 'for room in the channel' a second apart, and '12 withdrawals' of gates and 20 returns went out meanwhile, each to all who were not bound, while the channel, which sends 3,856 lines a second, stood empty at times.

Cause: gates and returns came before binds in each reply and have the same part of the backlog, so they took the room that answers gave. A proxy that is not bound may hold a draining host in a table of before and has its grace from its joining alone.

While a host leaves, binds of those of whom one would be late by the channel's own figures if it waited any longer go right behind drains, with their part of the backlog, and keep their place. The test fails without.

--- a/crates/books/src/asked.rs
+++ b/crates/books/src/asked.rs
@@ -54,11 +54,13 @@
     pub nodes: BTreeMap<Reach, Node>,
     /// It joined without a table that a steward ordered.
     pub fresh: bool,
+    /// When it joined, ms by the clock of the decisions.
+    pub joined_at: f64,
 }
 
 impl Proxy {
-    pub fn joined(zone: ZoneId, told: f64, fresh: bool) -> Proxy {
-        Proxy { asked: Asked::joined(zone, told), nodes: BTreeMap::new(), fresh }
+    pub fn joined(joined_at: f64, zone: ZoneId, told: f64, fresh: bool) -> Proxy {
+        Proxy { asked: Asked::joined(zone, told), nodes: BTreeMap::new(), fresh, joined_at }
     }
 
     /// Lets go of its seats in all but these trees.
--- a/crates/books/src/present.rs
+++ b/crates/books/src/present.rs
@@ -282,13 +282,18 @@
         (!using.is_empty()).then(|| using.iter().any(|tbl| self.bare(tbl)))
     }
 
+    /// Some proxy uses no table yet.
+    pub fn lacks_binds(&self, proxies: &BTreeMap<ProxyId, Proxy>) -> bool {
+        self.bound < proxies.len()
+    }
+
     /// Those that may hold a host: proxies at a table that names it, and those not bound yet. All that are bound
     /// have joined.
     pub fn holders(&self, host: HostId, proxies: &BTreeMap<ProxyId, Proxy>) -> Vec<ProxyId> {
         let tbls = self.naming.get(&host).into_iter().flatten();
         let mut holders: BTreeSet<ProxyId> =
             tbls.filter_map(|tbl| self.users.get(tbl)).flatten().copied().collect();
-        if self.bound < proxies.len() {
+        if self.lacks_binds(proxies) {
             holders.extend(proxies.keys().filter(|id| self.bound(**id).next().is_none()));
         }
         holders.into_iter().collect()
--- a/crates/policy/src/hear.rs
+++ b/crates/policy/src/hear.rs
@@ -18,7 +18,7 @@
                 self.waiting.joined(*proxy, *fresh);
                 self.present.joined(*proxy, *fresh);
                 self.waiting.newcomer(*proxy, self.channel.head + 1.0);
-                self.proxies.insert(*proxy, Proxy::joined(*zone, *rate, *fresh));
+                self.proxies.insert(*proxy, Proxy::joined(now, *zone, *rate, *fresh));
             }
             Event::Left { proxy } => self.left(*proxy),
             Event::Met { host, zone, tries, voided, mean, over, .. } => {
--- a/crates/policy/src/publish.rs
+++ b/crates/policy/src/publish.rs
@@ -41,8 +41,10 @@
         let mut reply = Reply {
             now, steward: self, present, passed, lines, waiting, leaving, held_up, refused, unbound, orders,
         };
-        reply.withdraw(&wanted);
+        reply.drain(&wanted);
         reply.narrow(&wanted);
+        reply.bind_overdue(&wanted);
+        reply.gate(&wanted);
         reply.fill_tables(ROUTINE, &wanted);
         let back = reply.let_in(&wanted);
         reply.set_levels(ROUTINE, &wanted);
@@ -131,25 +133,97 @@
         Ok(())
     }
 
-    /// Drains and gates, in the order of their hosts. A drain that has no room yet keeps its place: guards against a withdrawal
-    /// from many proxies that waits for good while smaller orders take each piece of room that comes up. A gate does not: who
-    /// joined and is not bound yet knows of no drain, and must not wait behind gates.
-    fn withdraw(&mut self, wanted: &Plan) {
-        let out: Vec<HostId> = wanted.held.difference(&self.present.held).copied().collect();
-        for host in out {
-            let on = self.steward.hosts.get(&host).is_some_and(|host| host.standing == Standing::On);
-            let may = if on { URGENT } else { DRAIN };
-            if on && self.steward.waiting.is_behind() {
+    fn is_listed_on(&self, host: HostId) -> bool {
+        self.steward.hosts.get(&host).is_some_and(|host| host.standing == Standing::On)
+    }
+
+    /// Drains, in the order of their hosts. One that has no room yet keeps its place: guards against a withdrawal from many
+    /// proxies that waits for good while smaller orders take each piece of room that comes up.
+    fn drain(&mut self, wanted: &Plan) {
+        let leaving = wanted.held.difference(&self.present.held).filter(|host| !self.is_listed_on(**host));
+        for host in leaving.copied().collect::<Vec<_>>() {
+            let whom = self.present.holders(host, &self.steward.proxies);
+            if self.withdraw(DRAIN, host, &whom) {
                 continue;
             }
+            self.held_up += 1;
+            let cost = self.cost(&whom, 1.0);
+            self.keep_place(DRAIN, cost);
+        }
+    }
+
+    /// Gates, in the order of their hosts.
+    fn gate(&mut self, wanted: &Plan) {
+        if self.steward.waiting.is_behind() {
+            return;
+        }
+        let gated = wanted.held.difference(&self.present.held).filter(|host| self.is_listed_on(**host));
+        for host in gated.copied().collect::<Vec<_>>() {
             let whom = self.present.holders(host, &self.steward.proxies);
-            let taken = self.take(may, &whom, 1.0, &[Order::Withdraw { host, out: true }]);
-            self.present.held.extend(taken.then_some(host));
-            self.held_up += usize::from(!taken);
-            let (channel, cost) = (&self.steward.channel, self.cost(&whom, 1.0));
-            let keeps_place = !taken && !on && cost <= may.0 * channel.backlog;
-            self.waiting += if keeps_place { cost } else { 0.0 };
+            self.held_up += usize::from(!self.withdraw(URGENT, host, &whom));
+        }
+    }
+
+    fn withdraw(&mut self, may: (f64, f64, f64, f64), host: HostId, whom: &[ProxyId]) -> bool {
+        let taken = self.take(may, whom, 1.0, &[Order::Withdraw { host, out: true }]);
+        self.present.held.extend(taken.then_some(host));
+        taken
+    }
+
+    /// What found no room counts as if it waited, so that nothing after it takes the room that comes up; not where it will
+    /// never fit.
+    fn keep_place(&mut self, may: (f64, f64, f64, f64), cost: f64) {
+        if cost <= may.0 * self.steward.channel.backlog {
+            self.waiting += cost;
+        }
+    }
+
+    /// While hosts leave, a proxy that is not bound may hold them in a table of before, and has its grace from its joining
+    /// alone. Those of whom one would be late if it waited any longer are bound now, as urgently as hosts drain. Guards
+    /// against gates and returns that go first and, as each goes to all who are not bound, take the room for their binds.
+    fn bind_overdue(&mut self, wanted: &Plan) {
+        if !self.leaving || !self.present.lacks_binds(&self.steward.proxies) {
+            return;
+        }
+        let unbound = self.unbound_in_turn(wanted);
+        let overdue = self.overdue(&unbound);
+        for ((proxy, tbl), products) in unbound.into_iter().take(overdue) {
+            if self.present.bare(&tbl) {
+                continue;
+            }
+            if self.bind_one(DRAIN, proxy, tbl, products) == Err(Refusal::ChannelFull) {
+                let cost = self.cost(&[proxy], self.bind_lines(&tbl));
+                self.keep_place(DRAIN, cost);
+            }
+        }
+    }
+
+    /// The binds of proxies without a table of this controller: those that hold no ordered table at all first, then in the
+    /// order of their joining.
+    fn unbound_in_turn(&self, wanted: &Plan) -> Vec<Bind> {
+        let mut unbound = self.present.lacking(wanted);
+        unbound.retain(|((proxy, _), _)| self.present.bound(*proxy).next().is_none());
+        unbound.sort_by(|((a, _), _), ((b, _), _)| {
+            let (a, b) = (&self.steward.proxies[a], &self.steward.proxies[b]);
+            b.fresh.cmp(&a.fresh).then(a.joined_at.total_cmp(&b.joined_at))
+        });
+        unbound
+    }
+
+    /// How many of these binds, in their order, have to go now if none is to be applied after the grace of its proxy.
+    fn overdue(&self, binds: &[Bind]) -> usize {
+        let Steward { proxies, channel, roster, .. } = self.steward;
+        let mut ahead = self.waiting;
+        let mut overdue = 0;
+        for (place, ((proxy, tbl), _)) in binds.iter().enumerate() {
+            ahead += self.cost(&[*proxy], self.bind_lines(tbl));
+            let sent_at = self.now + TICK + 1e3 * ahead / channel.lines_per_s;
+            let applied_at = sent_at + channel.transit_worst;
+            if applied_at >= proxies[proxy].joined_at + roster.grace {
+                overdue = place + 1;
+            }
         }
+        overdue
     }
 
     /// Residency stands before service: what leaves a reach goes ahead of the rest, whatever then serves.
--- a/crates/policy/tests/policy/stalls.rs
+++ b/crates/policy/tests/policy/stalls.rs
@@ -152,3 +152,30 @@
     fleet.answers(bound);
     fleet.until("restore host1", 1_000.0);
 }
+
+/// Seed 126 of the drills: while hosts drained, 60 to 100 proxies waited 11 s "for room in the channel" to be bound. Calls of
+/// gates and returns went first, each to all who were not bound, though a channel that carries 3,800 lines a second needed one
+/// second for all binds.
+#[test]
+fn while_hosts_leave_a_proxy_whose_grace_ends_is_bound_before_gates_go() {
+    let mut fleet = Fleet::with_channel(1, 6, 200.0);
+    (0..2).for_each(|proxy| fleet.join(proxy));
+    fleet.run(1);
+    fleet.catch_up(2);
+    fleet.list(0, Standing::Draining, None);
+    fleet.catch_up(2);
+    let more: Vec<(u16, bool)> = (2..PROXIES).map(|proxy| (proxy, false)).collect();
+    fleet.trace.clear();
+    fleet.join_all(&more);
+    fleet.probes(1, &[Outcome::Unreachable; 3]);
+    fleet.probes(2, &[Outcome::Unreachable; 3]);
+    for _ in 0..10 {
+        let applied = |proxy| Event::Applied { proxy: ProxyId(proxy), mark: fleet.mark, took: 300.0 };
+        let applied: Vec<Event> = (0..PROXIES).map(applied).collect();
+        fleet.say(&applied);
+        fleet.run(1);
+    }
+    let (before, _) = fleet.trace.split_once("withdraw host1").expect("a gate in the end");
+    let bound = more.iter().filter(|(proxy, _)| before.contains(&format!("bind proxy{proxy} ")));
+    assert_eq!(bound.count(), more.len(), "{}", fleet.trace);
+}
