History checks for proxies without a host, restarts, and calls after a controller's end

Readiness: each start after an end, with its time. CallsAfterEnd: a call read after the process was waited for. Each is shown to fail one millisecond beyond its bound and to pass at it. The spans of suspended limits are one type now, used by Drains too; a process that starts again is told of drains anew.

--- a/crates/histories/src/drains.rs
+++ b/crates/histories/src/drains.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::suspended::Suspended;
 use crate::{HostState, Line, Rule, Verdict, What};
 
 /// How long proxies may go on sending to a host that drains.
@@ -29,24 +30,7 @@
 struct Controller {
     /// Hosts that are draining or gone, with the line that told so.
     leaving: BTreeMap<String, Line>,
-    /// Spans in which time limits are suspended, ns; none overlaps another.
-    suspended: Vec<(u64, u64)>,
-}
-
-impl Controller {
-    fn suspend(&mut self, from: u64, until: u64) {
-        let from = self.suspended.last().map_or(from, |span| from.max(span.1));
-        if from < until {
-            self.suspended.push((from, until));
-        }
-    }
-
-    /// How much of that span counts, ns.
-    fn counted(&self, from: u64, until: u64) -> u64 {
-        let overlap = |span: &(u64, u64)| span.1.min(until).saturating_sub(span.0.max(from));
-        let suspended: u64 = self.suspended.iter().map(overlap).sum();
-        until.saturating_sub(from).saturating_sub(suspended)
-    }
+    suspended: Suspended,
 }
 
 #[derive(Default)]
@@ -74,7 +58,7 @@
         match &line.what {
             What::ListTold { host, state } => self.told(line, host, *state),
             What::LimitsWait { until } => {
-                self.controllers.entry(line.who.clone()).or_default().suspend(line.at, *until);
+                self.controllers.entry(line.who.clone()).or_default().suspended.add(line.at, *until);
             }
             What::Joined { controller } => {
                 self.leaves(line.at, &line.who);
@@ -86,6 +70,10 @@
                 self.proxies.entry(line.who.clone()).or_default().follows = None;
             }
             What::MaySend { hosts } => self.may_send(line, hosts),
+            // A process that starts again is told anew. Its proxies left before.
+            What::Died => {
+                self.controllers.entry(line.who.clone()).or_default().leaving.clear();
+            }
             _ => {}
         }
     }
@@ -132,7 +120,7 @@
         let Some(controller) = self.controllers.get(&controller) else { return };
         let Some(told) = controller.leaving.get(host) else { return };
         self.verdict.looked += 1;
-        let sent_for = controller.counted(told.at.max(joined.at), now) as f64 / 1e6;
+        let sent_for = controller.suspended.counted(told.at.max(joined.at), now) as f64 / 1e6;
         let allowed = self.bounds.grace + self.bounds.slack;
         if sent_for > allowed {
             let says = format!(
--- a/crates/histories/src/event.rs
+++ b/crates/histories/src/event.rs
@@ -122,6 +122,12 @@
     MaySend {
         hosts: Vec<String>,
     },
+    /// The controller `who` is started as a process.
+    Started,
+    /// It answers a sign of life for the first time since it was started, and is used from here on.
+    Ready,
+    /// Its relay got a call of orders.
+    Called,
     /// The process `who` is gone; written by the rig in its name, once it was waited for. What it held, its tables
     /// too, ends here. Any later line of that name is of a new run.
     Died,
--- a/crates/histories/src/lib.rs
+++ b/crates/histories/src/lib.rs
@@ -13,6 +13,7 @@
 //! events open, one that is right is enough. What a check could not look at is counted, so that a history without
 //! matter is not taken for a good one.
 
+mod after_end;
 mod answers;
 mod drains;
 mod event;
@@ -23,13 +24,17 @@
 mod late;
 pub mod made;
 mod names;
+mod no_host;
 mod once;
 pub mod plain;
 mod reach;
 mod read;
+mod ready;
 mod register;
 mod report;
+mod suspended;
 
+pub use after_end::CallsAfterEnd;
 pub use answers::Answers;
 pub use drains::{DrainBounds, Drains};
 pub use event::*;
@@ -38,8 +43,10 @@
 pub use grants::Grants;
 pub use guarantee::Guarantees;
 pub use late::Late;
+pub use no_host::{NoHost, NoHostBounds};
 pub use once::OnceOnly;
 pub use reach::Reach;
 pub use read::{Reader, Spoilt};
+pub use ready::Readiness;
 pub use register::Register;
 pub use report::{judge, judge_files, Bounds, Judge, Report, Rule, Verdict, Violation};
--- a/crates/histories/src/report.rs
+++ b/crates/histories/src/report.rs
@@ -33,12 +33,19 @@
     Answers,
     /// A proxy may send to a host for longer than the grace after the notice of its drain.
     Drains,
+    /// A proxy has no host to pick for too long while its controller lists one as ready.
+    NoHost,
+    /// A controller that was started again is ready too late.
+    Ready,
+    /// A controller's relay got a call after the controller's end.
+    AfterEnd,
     /// A call was written after its lease was over. Counted apart: the note says why it can't be excluded.
     Late,
 }
 
 impl Rule {
-    /// Those that [`Judge`] looks at. [`crate::Drains`] is a check of its own, with bounds of its own.
+    /// Those that [`Judge`] looks at. [`crate::Drains`], [`crate::NoHost`], [`crate::Readiness`] and
+    /// [`crate::CallsAfterEnd`] are checks of their own, with bounds of their own.
     pub const ALL: [Rule; 9] = [
         Rule::Register,
         Rule::Exclude,
@@ -62,6 +69,9 @@
             Rule::OnceOnly => "once only",
             Rule::Answers => "answers",
             Rule::Drains => "drains",
+            Rule::NoHost => "no host",
+            Rule::Ready => "ready",
+            Rule::AfterEnd => "after the end",
             Rule::Late => "late calls",
         }
     }
@@ -270,7 +280,7 @@
     }
 }
 
-const KINDS: [&str; 22] = [
+const KINDS: [&str; 25] = [
     "revision",
     "proposed",
     "answered",
@@ -293,6 +303,9 @@
     "joined",
     "left",
     "may_send",
+    "started",
+    "ready",
+    "called",
 ];
 
 /// The place among the kinds, and its name.
@@ -320,6 +333,9 @@
         What::Joined { .. } => 19,
         What::Left => 20,
         What::MaySend { .. } => 21,
+        What::Started => 22,
+        What::Ready => 23,
+        What::Called => 24,
     };
     (place, KINDS[place])
 }
--- a/crates/histories/tests/cases/main.rs
+++ b/crates/histories/tests/cases/main.rs
@@ -3,6 +3,8 @@
 mod drains;
 mod good;
 mod hand;
+mod lifecycle;
+mod no_host;
 mod plainly;
 mod reading;
 mod spoilt;
