A soak of drawn drills with signals in series and crowds, judged for five rules

Judged from the history: drains, the channel's limits, proxies without a host, restarts within 10 s for nine in ten, calls after the end; a crash is said.

What plays drills and says what is wrong is shared with the tests of drains.

--- a/crates/rig/src/address.rs
+++ b/crates/rig/src/address.rs
@@ -47,6 +47,13 @@
     pub fn relay(&self, steward: usize) -> SocketAddr {
         self.at(10 + steward as u8, 6_400)
     }
+    /// Where a new configuration moves discovery and the relay of the first.
+    pub fn second_discovery(&self) -> SocketAddr {
+        self.at(2, 8_500)
+    }
+    pub fn second_relay(&self) -> SocketAddr {
+        self.at(10, 6_401)
+    }
     /// Where a steward listens for its peers.
     pub fn fleet(&self, steward: usize) -> SocketAddr {
         self.at(10 + steward as u8, 7_000)
--- a/crates/rig/src/drill/collector.rs
+++ b/crates/rig/src/drill/collector.rs
@@ -48,9 +48,13 @@
     every.tick().await;
     let mut waiting = VecDeque::new();
     loop {
-        let Ok(mut stream) = TcpStream::connect(at).await else { return };
-        if stream.write_all(format!("SOURCE zone={}\r\n", settings.zones[0]).as_bytes()).await.is_err() {
-            return;
+        let Ok(mut stream) = TcpStream::connect(at).await else {
+            sleep(LOOK).await;
+            continue;
+        };
+        let source = format!("SOURCE zone={}\r\n", settings.zones[0]);
+        if stream.write_all(source.as_bytes()).await.is_err() {
+            continue;
         }
         loop {
             every.tick().await;
--- a/crates/rig/src/drill/discovery.rs
+++ b/crates/rig/src/drill/discovery.rs
@@ -2,18 +2,24 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use amberarch_histories::{HostState, What};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
 use serde_json::{json, Value};
 use tokio::sync::watch;
+use tokio::task::spawn_local;
 use tokio::time::{sleep_until, Instant};
 
+use super::door::Door;
+use super::settings::Addresses;
 use super::{ListChange, ListHeld, Recorder, CONTROLLER};
 use crate::address::Block;
 use crate::hosts::Host;
-use crate::serve::{full, serve};
+use crate::serve::{full, serve_connection, Body};
 use crate::Fault;
 
 /// The version that controllers know from their configuration.
@@ -24,7 +30,7 @@
     /// The version that changed a host last, and its state since.
     states: RefCell<BTreeMap<usize, (u64, HostState)>>,
     version: watch::Sender<u64>,
-    up: watch::Sender<bool>,
+    door: RefCell<Option<Door>>,
     held: watch::Sender<bool>,
     recorder: Recorder,
 }
@@ -41,20 +47,45 @@
             hosts: hosts.to_vec(),
             states: RefCell::default(),
             version: watch::Sender::new(FIRST_VERSION),
-            up: watch::Sender::new(true),
+            door: RefCell::default(),
             held: watch::Sender::new(false),
             recorder,
         });
-        let (answers, up) = (discovery.clone(), discovery.up.subscribe());
-        serve(block.discovery(), up, move |request| {
-            let answers = answers.clone();
-            let query = request.uri().query().unwrap_or("").to_string();
-            async move { full(&answers.answer(&query).await) }
-        })
-        .await?;
+        discovery.moves(block.discovery_at(Addresses::First)).await?;
         Ok(discovery)
     }
 
+    /// Listens there from now on, and leaves the address where it listened before.
+    ///
+    /// # Errors
+    /// The address can't be listened at.
+    pub async fn moves(self: &Rc<Discovery>, to: SocketAddr) -> Result<(), Fault> {
+        let discovery = self.clone();
+        let door = Door::open(to, move |stream, door| {
+            let discovery = discovery.clone();
+            spawn_local(async move {
+                let answer = |request| discovery.clone().answer_request(request);
+                serve_connection(stream, answer, door.closes()).await;
+            });
+        });
+        if let Some(before) = self.door.replace(Some(door.await?)) {
+            before.leave();
+        }
+        Ok(())
+    }
+
+    /// A controller that starts has the list of its configuration, in which all are ready.
+    pub fn known_lists_all(&self) {
+        for host in &self.hosts {
+            let (host, state) = (host.name.clone(), HostState::Ready);
+            self.recorder.write(CONTROLLER, What::ListTold { host, state });
+        }
+    }
+
+    async fn answer_request(self: Rc<Discovery>, request: Request<Incoming>) -> Response<Body> {
+        full(&self.answer(request.uri().query().unwrap_or("")).await)
+    }
+
     async fn answer(&self, query: &str) -> Value {
         let parameter = |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.parse().ok());
         let (after, wait): (Option<u64>, Option<u64>) = (parameter("after="), parameter("wait_ms="));
--- a/crates/rig/src/drill/drawn.rs
+++ b/crates/rig/src/drill/drawn.rs
@@ -11,7 +11,7 @@
 };
 
 /// Before this nothing fails, ms: everybody joins and is bound.
-const CALM: u64 = 2_500;
+pub(super) const CALM: u64 = 2_500;
 /// After the last fault the drill goes on for the longest grace and a little, ms.
 const AFTER: u64 = 9_000;
 /// Hosts that are in service at all times, as a part of all.
@@ -40,6 +40,8 @@
             failed_calls,
             stopped,
             list_held,
+            actions: vec![],
+            crowds: vec![],
             lasts,
         }
     }
--- a/crates/rig/src/drill/mod.rs
+++ b/crates/rig/src/drill/mod.rs
@@ -5,15 +5,20 @@
 //! The channel and the proxies are those of `amberarch-emulator`; here they run in real time behind real sockets.
 
 mod collector;
+mod crowd;
 mod discovery;
+mod door;
 mod drawn;
 mod http;
 mod lag;
+mod lifecycle;
 mod proxies;
 mod relay;
 mod settings;
+mod soak;
 mod trace;
 mod traffic;
+mod verdicts;
 
 use std::cell::RefCell;
 use std::path::Path;
@@ -21,7 +26,7 @@
 use std::time::Duration;
 
 use amberarch_core::{HostId, ProxyId};
-use amberarch_histories::{DrainBounds, Drains, HostState, Line, Verdict, Violation, What};
+use amberarch_histories::{HostState, Line, Violation, What};
 use rustix::process::Signal;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -33,13 +38,18 @@
 use crate::pen::now_ns;
 use crate::Fault;
 
+pub use crowd::{Crowd, CrowdKind};
 use discovery::Discovery;
 use lag::{Lag, LAG_MOST};
+pub use lifecycle::{Action, Scheduled};
+use lifecycle::{Operator, Scene};
 use proxies::Proxies;
 use relay::Relay;
+use settings::Addresses;
 pub use settings::Settings;
 use trace::Trace;
 use traffic::Traffic;
+pub use verdicts::Verdicts;
 
 /// A machine with other work to do may take so long to start a process.
 const START_WITHIN: Duration = Duration::from_secs(30);
@@ -162,6 +172,9 @@
     pub failed_calls: Vec<FailedCalls>,
     pub stopped: Vec<Stopped>,
     pub list_held: Vec<ListHeld>,
+    /// What operators do to the process, one after the other.
+    pub actions: Vec<Scheduled>,
+    pub crowds: Vec<Crowd>,
     /// How long it lasts, ms.
     pub lasts: u64,
 }
@@ -179,6 +192,8 @@
             failed_calls: vec![],
             stopped: vec![],
             list_held: vec![],
+            actions: vec![],
+            crowds: vec![],
             lasts,
         }
     }
@@ -187,8 +202,9 @@
 /// What a drill left.
 pub struct Drilled {
     pub history: Vec<Line>,
-    /// Drains by the history.
-    pub drains: Verdict,
+    pub verdicts: Verdicts,
+    /// The process ended and nobody had ended it.
+    pub crashed: bool,
     /// The most lines that waited in the channel at once, and how many it may hold.
     pub most_waiting: f64,
     pub backlog: f64,
@@ -255,22 +271,21 @@
 }
 
 async fn play(binary: &Path, plan: &DrillPlan, folder: &Path) -> Result<Drilled, Fault> {
-    let block = Block::take()?;
     let recorder = Recorder::default();
     let settings = &plan.settings;
-    let Hosts { all: hosts, reachable } = stand_hosts(&block, settings).await?;
-    let reachable = Rc::new(reachable);
-    let proxies = Proxies::new(settings, &hosts, recorder.clone());
-    let discovery = Discovery::stand(&block, &hosts, recorder.clone()).await?;
     let start_ns = now_ns();
-    let relay = Relay::stand(&block, settings, &hosts, proxies.clone(), recorder.clone()).await?;
+    let (scene, reachable) = stand(settings, &recorder).await?;
+    let scene = Rc::new(scene);
+    let Scene { relay, discovery, block, .. } = &*scene;
     let (news, _) = watch::channel(0);
-    let member = start(binary, &block, settings, &hosts, folder, &news).await?;
+    let member = Rc::new(start(binary, &scene, folder, &news).await?);
     collector::until_ready(block.listens(0)).await?;
+    recorder.write(CONTROLLER, What::Ready);
+    let operator = Operator::new(member.clone(), scene.clone());
     let start = Instant::now();
     let lag = Lag::measured();
     relay.join_all(start);
-    let traffic = Traffic::new(settings, &hosts, proxies.clone());
+    let traffic = Traffic::new(settings, &scene.hosts, relay.proxies());
     spawn_local(collector::report(block.listens(0), settings.clone(), traffic));
     spawn_local(relay.clone().fail(start, plan.silences.clone()));
     for span in &plan.unreachable {
@@ -280,32 +295,72 @@
     for one in &plan.moves {
         spawn_local(relay.clone().moves(start, *one));
     }
+    for crowd in &plan.crowds {
+        spawn_local(crowd::gather(block.listens(0), start, *crowd));
+    }
     spawn_local(relay.clone().fail_calls(start, plan.failed_calls.clone()));
     spawn_local(discovery.clone().hold(start, plan.list_held.clone()));
-    let member = Rc::new(member);
     spawn_local(stop(start, member.clone(), plan.stopped.clone()));
-    spawn_local(discovery.change(start, plan.changes.clone()));
+    spawn_local(discovery.clone().change(start, plan.changes.clone()));
+    let acted = spawn_local(operator.clone().work(start, plan.actions.clone()));
     sleep_until(start + Duration::from_millis(plan.lasts)).await;
-    // Its counters are the last line of its log.
-    member.signal(Signal::USR1);
-    seen(&news, COUNTERS_WITHIN, "the controller's counters", || member.said("counters: ").is_some()).await?;
+    let _ = acted.await;
+    if let Some(why) = operator.fault() {
+        return Err(why);
+    }
+    let crashed = member.ended();
+    if !crashed {
+        last_counters(&member, &news).await?;
+    }
     let log = member.log_end(usize::MAX);
     member.close();
     let history = recorder.0.take();
-    let bounds = DrainBounds { grace: settings.drain_grace, slack: settings::SLACK };
-    let mut drains = Drains::new(bounds);
-    history.iter().for_each(|line| drains.feed(line));
+    let verdicts = Verdicts::of(&history, settings);
     let (most_waiting, passed, orders) = relay.limits();
-    let calls = relay.calls();
-    let (drains, backlog) = (drains.finish(), settings.channel.backlog);
+    let (calls, backlog) = (relay.calls(), settings.channel.backlog);
     let (lag, trace) = (lag.longest(), relay.take_trace());
-    Ok(Drilled { history, drains, most_waiting, backlog, passed, orders, log, calls, lag, trace, start_ns })
+    Ok(Drilled {
+        history,
+        verdicts,
+        crashed,
+        most_waiting,
+        backlog,
+        passed,
+        orders,
+        log,
+        calls,
+        lag,
+        trace,
+        start_ns,
+    })
+}
+
+/// Has the controller write its counters as the last line of its log.
+async fn last_counters(member: &Member, news: &watch::Sender<u64>) -> Result<(), Fault> {
+    let last = || member.said("counters: ").map(|line| line.0);
+    let before = last();
+    member.signal(Signal::USR1);
+    seen(news, COUNTERS_WITHIN, "the controller's counters", || last() > before).await
 }
 
+/// All that stands round the process.
+async fn stand(settings: &Settings, recorder: &Recorder) -> Result<(Scene, Rc<Reachable>), Fault> {
+    let block = Block::take()?;
+    let Hosts { all: hosts, reachable } = stand_hosts(&block, settings).await?;
+    let proxies = Proxies::new(settings, &hosts, recorder.clone());
+    let discovery = Discovery::stand(&block, &hosts, recorder.clone()).await?;
+    let relay = Relay::stand(&block, settings, &hosts, proxies, recorder.clone()).await?;
+    let (settings, recorder) = (settings.clone(), recorder.clone());
+    Ok((Scene { block, settings, hosts, discovery, relay, recorder }, Rc::new(reachable)))
+}
+
+/// Says of each host whether it can be reached.
+type Reachable = Vec<watch::Sender<bool>>;
+
 /// The hosts, and what says of each whether it can be reached.
 struct Hosts {
     all: Vec<Rc<Host>>,
-    reachable: Vec<watch::Sender<bool>>,
+    reachable: Reachable,
 }
 
 async fn stand_hosts(block: &Block, settings: &Settings) -> Result<Hosts, Fault> {
@@ -330,7 +385,7 @@
 }
 
 /// Takes hosts out of reach and back by that plan.
-async fn out_of_reach(start: Instant, reachable: Rc<Vec<watch::Sender<bool>>>, plan: Unreachable) {
+async fn out_of_reach(start: Instant, reachable: Rc<Reachable>, plan: Unreachable) {
     for (at, up) in [(plan.from, false), (plan.until, true)] {
         sleep_until(start + Duration::from_millis(at)).await;
         for host in &plan.hosts {
@@ -341,15 +396,16 @@
 
 async fn start(
     binary: &Path,
-    block: &Block,
-    settings: &Settings,
-    hosts: &[Rc<Host>],
+    scene: &Scene,
     folder: &Path,
     news: &watch::Sender<u64>,
 ) -> Result<Member, Fault> {
     let member = Member::new(folder.join("n0"), "n0", binary, news.clone())?;
-    member.write("config.json", &settings.configuration(block, hosts).to_string())?;
+    let configuration = scene.settings.configuration(&scene.block, Addresses::First, &scene.hosts);
+    member.write("config.json", &configuration.to_string())?;
     member.write("operator.toml", "")?;
+    scene.recorder.write(CONTROLLER, What::Started);
+    scene.discovery.known_lists_all();
     member.start()?;
     seen(news, START_WITHIN, "the controller's start", || member.started()).await?;
     Ok(member)
--- a/crates/rig/src/drill/relay.rs
+++ b/crates/rig/src/drill/relay.rs
@@ -3,6 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,14 +13,15 @@
 use serde_json::{json, Value};
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{interval, sleep, sleep_until, Instant};
 
+use super::door::{Door, DoorWatch};
 use super::http::{read, reply, Request};
 use super::proxies::Proxies;
-use super::settings::{Settings, CLASSES};
+use super::settings::{Addresses, Settings, CLASSES};
 use super::trace::{Step, Trace};
 use super::traffic::Traffic;
 use super::{
@@ -70,6 +72,9 @@
     passed: RefCell<Vec<String>>,
     calls: RefCell<Vec<String>>,
     trace: RefCell<Trace>,
+    door: RefCell<Option<Door>>,
+    /// The controller's process is used: proxies follow it.
+    is_followed: Cell<bool>,
     recorder: Recorder,
 }
 
@@ -83,8 +88,6 @@
         proxies: Rc<Proxies>,
         recorder: Recorder,
     ) -> Result<Rc<Relay>, Fault> {
-        let listener = TcpListener::bind(block.relay(0)).await;
-        let listener = listener.map_err(|why| Fault::Io("a relay's address", why))?;
         let relay = Rc::new(Relay {
             settings: settings.clone(),
             hosts: hosts.iter().map(|host| host.name.clone()).collect(),
@@ -104,13 +107,30 @@
             passed: RefCell::default(),
             calls: RefCell::default(),
             trace: RefCell::default(),
+            door: RefCell::default(),
+            is_followed: Cell::new(false),
             recorder,
         });
-        spawn_local(relay.clone().accept(listener));
+        relay.clone().moves_to(block.relay_at(Addresses::First)).await?;
         spawn_local(relay.clone().deliver());
         Ok(relay)
     }
 
+    /// Listens there from now on, and leaves the address where it listened before.
+    ///
+    /// # Errors
+    /// The address can't be listened at.
+    pub async fn moves_to(self: Rc<Relay>, to: SocketAddr) -> Result<(), Fault> {
+        let relay = self.clone();
+        let door = Door::open(to, move |stream, door| {
+            spawn_local(relay.clone().serve(stream, door));
+        });
+        if let Some(before) = self.door.replace(Some(door.await?)) {
+            before.leave();
+        }
+        Ok(())
+    }
+
     /// The most lines that waited, the limits that were passed, and how many orders were taken.
     pub fn limits(&self) -> (f64, Vec<String>, u64) {
         (self.channel.borrow().most, self.passed.borrow().clone(), self.orders.get())
@@ -121,6 +141,10 @@
         self.calls.borrow().clone()
     }
 
+    pub fn proxies(&self) -> Rc<Proxies> {
+        self.proxies.clone()
+    }
+
     /// What became of orders to single proxies.
     pub fn take_trace(&self) -> Trace {
         self.trace.take()
@@ -155,22 +179,69 @@
         self.calls.borrow_mut().push(line);
     }
 
-    /// All proxies join within half a second.
+    /// All proxies join within half a second, without a table that was ordered.
     pub fn join_all(self: &Rc<Relay>, start: Instant) {
+        self.all_join(start, true);
+    }
+
+    /// All proxies join a process that started again, within half a second, with the tables that they hold.
+    pub fn join_again(self: &Rc<Relay>, start: Instant) {
+        let mut anew = Channel::new(self.settings.channel.clone(), CLASSES.len() as u16);
+        anew.most = self.channel.borrow().most;
+        self.channel.replace(anew);
+        self.all_join(start, false);
+    }
+
+    fn all_join(self: &Rc<Relay>, start: Instant, fresh: bool) {
+        self.is_followed.set(true);
         let (relay, count) = (self.clone(), self.settings.proxies);
         spawn_local(async move {
             for number in 0..count {
                 sleep_until(start + JOINS_WITHIN * u32::from(number) / u32::from(count)).await;
                 let proxy = ProxyId(number);
-                relay.channel.borrow_mut().join(proxy);
-                relay.joined.borrow_mut().push(proxy);
-                relay.proxies.joins(proxy);
-                relay.trace.borrow_mut().record(relay.now(), Some(proxy), Step::Joined { fresh: true });
-                relay.say(relay.joins(proxy, true));
+                if !fresh && !relay.joined.borrow().contains(&proxy) {
+                    relay.proxies.comes_back(proxy, false);
+                }
+                relay.join(proxy, fresh);
             }
         });
     }
 
+    /// The proxy joins, unless nobody is there to join or it has joined already.
+    fn join(&self, proxy: ProxyId, fresh: bool) {
+        if !self.is_followed.get() || self.joined.borrow().contains(&proxy) {
+            return;
+        }
+        self.channel.borrow_mut().join(proxy);
+        self.joined.borrow_mut().push(proxy);
+        self.proxies.joins(proxy);
+        self.trace.borrow_mut().record(self.now(), Some(proxy), Step::Joined { fresh });
+        self.say(self.joins(proxy, fresh));
+    }
+
+    /// The proxy leaves, if it has joined.
+    fn leave(&self, proxy: ProxyId) -> bool {
+        if !self.joined.borrow().contains(&proxy) {
+            return false;
+        }
+        self.joined.borrow_mut().retain(|other| *other != proxy);
+        self.channel.borrow_mut().leave(proxy);
+        self.proxies.leaves(proxy);
+        self.trace.borrow_mut().record(self.now(), Some(proxy), Step::Left);
+        *self.streams.borrow_mut().entry(proxy).or_default() += 1;
+        self.say(json!({"type": "CLOSED", "object": {"proxy": proxy.0}}).to_string());
+        true
+    }
+
+    /// The controller's process is gone: its proxies go elsewhere.
+    pub fn process_ended(&self) {
+        self.is_followed.set(false);
+        let joined = self.joined.borrow().clone();
+        joined.into_iter().for_each(|proxy| {
+            self.leave(proxy);
+        });
+    }
+
     /// Is silent by that plan.
     pub async fn fail(self: Rc<Relay>, start: Instant, silences: Vec<Silence>) {
         for Silence { from, until, calls, ends } in silences {
@@ -204,22 +275,14 @@
     pub async fn moves(self: Rc<Relay>, start: Instant, plan: Move) {
         let proxy = ProxyId(plan.proxy);
         sleep_until(start + Duration::from_millis(plan.leaves)).await;
-        if !self.joined.borrow().contains(&proxy) {
+        if !self.leave(proxy) {
             return;
         }
-        self.joined.borrow_mut().retain(|other| *other != proxy);
-        self.channel.borrow_mut().leave(proxy);
-        self.proxies.leaves(proxy);
-        self.trace.borrow_mut().record(self.now(), Some(proxy), Step::Left);
-        *self.streams.borrow_mut().entry(proxy).or_default() += 1;
-        self.say(json!({"type": "CLOSED", "object": {"proxy": proxy.0}}).to_string());
         sleep_until(start + Duration::from_millis(plan.joins)).await;
-        self.proxies.comes_back(proxy, plan.fresh);
-        self.channel.borrow_mut().join(proxy);
-        self.joined.borrow_mut().push(proxy);
-        self.proxies.joins(proxy);
-        self.trace.borrow_mut().record(self.now(), Some(proxy), Step::Joined { fresh: plan.fresh });
-        self.say(self.joins(proxy, plan.fresh));
+        if self.is_followed.get() && !self.joined.borrow().contains(&proxy) {
+            self.proxies.comes_back(proxy, plan.fresh);
+            self.join(proxy, plan.fresh);
+        }
     }
 
     fn suspend_limits(&self, span: Duration) {
@@ -246,16 +309,8 @@
         json!({"type": "SUBSCRIBE", "object": object}).to_string()
     }
 
-    async fn accept(self: Rc<Relay>, listener: TcpListener) {
-        loop {
-            if let Ok((stream, _)) = listener.accept().await {
-                spawn_local(self.clone().serve(stream));
-            }
-        }
-    }
-
-    /// Serves a connection until it ends or belongs to an earlier epoch.
-    async fn serve(self: Rc<Relay>, stream: TcpStream) {
+    /// Serves a connection until it ends, belongs to an earlier epoch or is closed with its address.
+    async fn serve(self: Rc<Relay>, stream: TcpStream, door: DoorWatch) {
         let mut link = self.link.subscribe();
         let mine = link.borrow_and_update().epoch;
         let served = async {
@@ -274,11 +329,13 @@
         tokio::select! {
             () = served => {}
             _ = link.wait_for(|link| link.epoch != mine) => {}
+            () = door.closes() => {}
         }
     }
 
     /// A call; none: nothing more is said on its connection.
     async fn answer(&self, request: &Request, writes: &mut OwnedWriteHalf) -> Option<()> {
+        self.recorder.write(CONTROLLER, What::Called);
         let silent = self.link.borrow().silent;
         if let Some(calls) = silent {
             self.suspend_limits(CALL_SILENT);
--- a/crates/rig/src/drill/settings.rs
+++ b/crates/rig/src/drill/settings.rs
@@ -1,5 +1,6 @@
 //! The deployment of a drill, and the configuration that its controller is given.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use amberarch_core::Channel;
@@ -8,8 +9,42 @@
 use crate::address::Block;
 use crate::hosts::Host;
 
-/// The protocol page: on sockets, time limits of drains are so much longer, ms.
+/// The protocol page: on sockets, time limits of drains and of proxies without a host are so much longer, ms.
 pub const SLACK: f64 = 300.0;
+/// How long a proxy may be without a host, ms.
+pub const EMPTY_FOR: f64 = 6_800.0;
+
+/// Where discovery and the relay are: a new configuration moves both.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Addresses {
+    First,
+    Second,
+}
+
+impl Addresses {
+    pub fn other(self) -> Addresses {
+        match self {
+            Addresses::First => Addresses::Second,
+            Addresses::Second => Addresses::First,
+        }
+    }
+}
+
+impl Block {
+    pub(super) fn discovery_at(&self, addresses: Addresses) -> SocketAddr {
+        match addresses {
+            Addresses::First => self.discovery(),
+            Addresses::Second => self.second_discovery(),
+        }
+    }
+
+    pub(super) fn relay_at(&self, addresses: Addresses) -> SocketAddr {
+        match addresses {
+            Addresses::First => self.relay(0),
+            Addresses::Second => self.second_relay(),
+        }
+    }
+}
 
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -62,13 +97,13 @@
         usize::from(proxy) % self.zones.len()
     }
 
-    pub(super) fn configuration(&self, block: &Block, hosts: &[Rc<Host>]) -> Value {
+    pub(super) fn configuration(&self, block: &Block, addresses: Addresses, hosts: &[Rc<Host>]) -> Value {
         let known: Vec<Value> = hosts.iter().map(|host| host.row()).collect();
         json!({
             "name": "n0",
             "listen": block.listens(0).to_string(),
-            "discovery": block.discovery().to_string(),
-            "relay": {"address": block.relay(0).to_string()},
+            "discovery": block.discovery_at(addresses).to_string(),
+            "relay": {"address": block.relay_at(addresses).to_string()},
             "seed": format!("{:016x}", self.seed),
             "limits": {"cores": 0.2, "memory_mb": 48, "sockets": 384},
             "known": {"seq": super::discovery::FIRST_VERSION, "whole": true, "hosts": known},
@@ -94,7 +129,7 @@
             "familyInfo": {
                 "agents": 3 * u32::from(self.proxies), "bootstrap": self.standing, "shards": 0, "zonal": false,
                 "classOwnZone": none, "classWrites": none, "defaultRetry": 0, "tryFactor": 0.8, "levelKind": "off",
-                "emptyFor": ns(6_800.0), "egressPerS": channel.lines_per_s, "backlog": channel.backlog,
+                "emptyFor": ns(EMPTY_FOR), "egressPerS": channel.lines_per_s, "backlog": channel.backlog,
                 "overhead": channel.head, "reloadsMax": channel.messages, "messagesOver": ns(channel.messages_over),
                 "propagation": ns(channel.transit), "worstTransit": ns(channel.transit_worst),
                 "reportEvery": ns(2_000.0), "reportsPerS": 120.0,
--- /dev/null
+++ b/crates/rig/src/drill/verdicts.rs
@@ -0,0 +1,52 @@
+//! What the history of a drill says of each rule.
+
+use amberarch_histories::{
+    CallsAfterEnd, DrainBounds, Drains, Line, NoHost, NoHostBounds, Readiness, Verdict, Violation,
+};
+
+use super::lag::LAG_MOST;
+use super::settings::{Settings, EMPTY_FOR, SLACK};
+
+/// The standing test: nine in ten restarted controllers are ready within 10 s.
+const READY_WITHIN: f64 = 10_000.0;
+
+pub struct Verdicts {
+    /// Proxies that may send to hosts that left for too long.
+    pub drains: Verdict,
+    /// Proxies without a host for too long.
+    pub no_host: Verdict,
+    /// Restarts; one that is late is a breach only where more than one in ten is.
+    pub restarts: Verdict,
+    pub slowest_restart_ms: f64,
+    /// Calls after the end of the process.
+    pub after_end: Verdict,
+}
+
+impl Verdicts {
+    pub fn of(history: &[Line], settings: &Settings) -> Verdicts {
+        let mut drains = Drains::new(DrainBounds { grace: settings.drain_grace, slack: SLACK });
+        let mut no_host = NoHost::new(NoHostBounds { empty_for: EMPTY_FOR, slack: SLACK });
+        let mut restarts = Readiness::new(READY_WITHIN);
+        // A drill that reads later than this is void.
+        let mut after_end = CallsAfterEnd::new(LAG_MOST.as_secs_f64() * 1e3);
+        for line in history {
+            drains.feed(line);
+            no_host.feed(line);
+            restarts.feed(line);
+            after_end.feed(line);
+        }
+        Verdicts {
+            drains: drains.finish(),
+            no_host: no_host.finish(),
+            slowest_restart_ms: restarts.slowest(),
+            restarts: restarts.finish(),
+            after_end: after_end.finish(),
+        }
+    }
+
+    /// All that breaks a rule in this drill alone.
+    pub fn violations(&self) -> impl Iterator<Item = &Violation> {
+        let verdicts = [&self.drains, &self.no_host, &self.after_end];
+        verdicts.into_iter().flat_map(|verdict| &verdict.violations)
+    }
+}
--- a/crates/rig/src/serve.rs
+++ b/crates/rig/src/serve.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 for the stand-ins.
 
 use std::convert::Infallible;
+use std::future::Future;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 
@@ -40,7 +41,7 @@
 pub async fn serve<F, Fut>(address: SocketAddr, up: watch::Receiver<bool>, answer: F) -> Result<(), Fault>
 where
     F: Fn(Request<Incoming>) -> Fut + Clone + 'static,
-    Fut: std::future::Future<Output = Response<Body>> + 'static,
+    Fut: Future<Output = Response<Body>> + 'static,
 {
     let listener = TcpListener::bind(address).await.map_err(|why| Fault::Io("a stand-in's address", why))?;
     spawn_local(async move {
@@ -51,18 +52,30 @@
                 continue;
             }
             let (answer, mut up) = (answer.clone(), up.clone());
-            let service = service_fn(move |request| {
-                let answer = answer(request);
-                async move { Ok::<_, Infallible>(answer.await) }
-            });
             spawn_local(async move {
-                let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-                tokio::select! {
-                    _ = connection => {}
-                    _ = up.wait_for(|up| !up) => {}
-                }
+                let closed = async {
+                    let _ = up.wait_for(|up| !up).await;
+                };
+                serve_connection(stream, answer, closed).await;
             });
         }
     });
     Ok(())
 }
+
+/// Serves one connection until it ends or is closed from here.
+pub async fn serve_connection<F, Fut>(stream: TcpStream, answer: F, closed: impl Future<Output = ()>)
+where
+    F: Fn(Request<Incoming>) -> Fut,
+    Fut: Future<Output = Response<Body>>,
+{
+    let service = service_fn(move |request| {
+        let answer = answer(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        _ = connection => {}
+        () = closed => {}
+    }
+}
--- /dev/null
+++ b/crates/steward/tests/drill/mod.rs
@@ -0,0 +1,92 @@
+//! Plays drills with the program under test and says what is wrong with each.
+
+use amberarch_rig::drill::{drill, DrillPlan, Drilled};
+
+/// The program under test: the one that was built with the tests, or another that the environment names.
+fn program() -> std::path::PathBuf {
+    match std::env::var_os("AMBERARCH_UNDER_TEST") {
+        Some(other) => other.into(),
+        None => env!("CARGO_BIN_EXE_amberarch").into(),
+    }
+}
+
+/// A drill that stood still itself proves nothing, so it is played again, so often at the most.
+const PLAYS_MOST: usize = 3;
+
+/// Plays it until a play is not void; the last one is given back in any case.
+pub fn play(plan: &DrillPlan) -> Drilled {
+    let play_once = || {
+        let folder = tempfile::tempdir().expect("a folder");
+        drill(&program(), plan, folder.path()).expect("a drill")
+    };
+    let mut drilled = play_once();
+    for _ in 1..PLAYS_MOST {
+        if !drilled.is_void() {
+            break;
+        }
+        println!("seed {}: void, the drill stood still for {:?}", plan.settings.seed, drilled.lag);
+        drilled = play_once();
+    }
+    drilled
+}
+
+/// Plays them side by side.
+pub fn play_all(plans: &[DrillPlan]) -> Vec<Drilled> {
+    std::thread::scope(|scope| {
+        let drills: Vec<_> = plans.iter().map(|plan| scope.spawn(|| play(plan))).collect();
+        drills.into_iter().map(|drill| drill.join().expect("a drill")).collect()
+    })
+}
+
+/// What a drill showed.
+#[derive(Debug, PartialEq)]
+pub enum Outcome {
+    Kept,
+    /// What is wrong, the first few of it.
+    Broken(Vec<String>),
+    /// Each play stood still itself.
+    Void,
+}
+
+/// So much is told of what is wrong.
+const TOLD_MOST: usize = 3;
+
+/// Rules or limits of the channel that were broken, a crash, or nothing to look at.
+pub fn outcome(drilled: &Drilled) -> Outcome {
+    if drilled.is_void() {
+        return Outcome::Void;
+    }
+    let Drilled { verdicts, passed, crashed, .. } = drilled;
+    let mut wrong = Vec::new();
+    let violations: Vec<_> = verdicts.violations().collect();
+    if !violations.is_empty() {
+        wrong.push(format!("{} violations", violations.len()));
+    }
+    if *crashed {
+        wrong.push("the controller ended by itself".to_string());
+    }
+    wrong.extend(violations.iter().take(TOLD_MOST).map(|found| found.says.clone()));
+    wrong.extend(passed.iter().take(TOLD_MOST).cloned());
+    if verdicts.drains.looked == 0 {
+        wrong.push("no drain was looked at".to_string());
+    }
+    if wrong.is_empty() {
+        Outcome::Kept
+    } else {
+        Outcome::Broken(wrong)
+    }
+}
+
+/// So many late drains are accounted for.
+const ACCOUNTS_MOST: usize = 8;
+
+/// Prints all that tells why a drill broke something.
+pub fn print_details(plan: &DrillPlan, drilled: &Drilled) {
+    let Drilled { most_waiting, backlog, calls, log, lag, .. } = drilled;
+    let seed = plan.settings.seed;
+    println!("seed {seed}: {most_waiting:.0} of {backlog:.0} lines waited at most, lag {lag:?} at most");
+    println!("{plan:?}\n{}\n{log}", calls.join("\n"));
+    for found in drilled.verdicts.violations().take(ACCOUNTS_MOST) {
+        println!("{}\n  {}", found.says, drilled.account(found).join("\n  "));
+    }
+}
--- /dev/null
+++ b/crates/steward/tests/soak/main.rs
@@ -0,0 +1,79 @@
+//! The soak: drills drawn by seed, with signals in series and crowds, judged for drains, the channel's limits, proxies without a
+//! host, restarts and calls after the end. A few seeds, the same each time; `AMBERARCH_SOAK_SEEDS=A..B` plays others, in groups.
+
+#[path = "../drill/mod.rs"]
+mod drill;
+
+use std::ops::Range;
+
+use amberarch_rig::drill::{DrillPlan, Drilled};
+use drill::{outcome, play_all, print_details, Outcome};
+
+/// How long faults last in each, ms.
+const FAULTS: u64 = 16_000;
+const SEEDS: Range<u64> = 1..9;
+/// Drills that run at one time.
+const SIDE_BY_SIDE: usize = 8;
+
+fn seeds() -> Range<u64> {
+    let Ok(range) = std::env::var("AMBERARCH_SOAK_SEEDS") else { return SEEDS };
+    let (from, to) = range.split_once("..").expect("seeds as A..B");
+    from.parse().expect("a seed")..to.parse().expect("a seed")
+}
+
+/// What all drills came to.
+#[derive(Default)]
+struct Soaked {
+    kept: usize,
+    broken: Vec<(u64, Vec<String>)>,
+    void: Vec<u64>,
+    restarts: u64,
+    late_restarts: u64,
+}
+
+impl Soaked {
+    fn add(&mut self, plan: &DrillPlan, drilled: &Drilled) {
+        let seed = plan.settings.seed;
+        let outcome = outcome(drilled);
+        let slowest = drilled.verdicts.slowest_restart_ms;
+        println!("seed {seed}: {outcome:?}, lag {:?}, slowest restart {slowest:.0} ms", drilled.lag);
+        if outcome == Outcome::Void {
+            self.void.push(seed);
+            return;
+        }
+        self.restarts += drilled.verdicts.restarts.looked;
+        self.late_restarts += drilled.verdicts.restarts.count();
+        match outcome {
+            Outcome::Broken(wrong) => {
+                print_details(plan, drilled);
+                self.broken.push((seed, wrong));
+            }
+            Outcome::Kept | Outcome::Void => self.kept += 1,
+        }
+    }
+
+    fn assert_kept(&self) {
+        let Soaked { kept, broken, void, restarts, late_restarts } = self;
+        println!(
+            "{kept} kept, {} broken, {} void {void:?}, {late_restarts} of {restarts} restarts late",
+            broken.len(),
+            void.len()
+        );
+        assert!(broken.is_empty(), "{broken:#?}");
+        assert!(late_restarts * 10 <= *restarts, "{late_restarts} of {restarts} restarts late");
+        assert!(kept > &void.len(), "most drills were void: {void:?}");
+    }
+}
+
+/// Guards against rules that break where nobody looked: what is played is drawn by seed.
+#[test]
+fn drills_with_signals_and_crowds_keep_the_rules() {
+    let seeds: Vec<u64> = seeds().collect();
+    let mut soaked = Soaked::default();
+    for group in seeds.chunks(SIDE_BY_SIDE) {
+        let plans: Vec<DrillPlan> = group.iter().map(|seed| DrillPlan::soak(*seed, FAULTS)).collect();
+        let drilled = play_all(&plans);
+        plans.iter().zip(&drilled).for_each(|(plan, drilled)| soaked.add(plan, drilled));
+    }
+    soaked.assert_kept();
+}
