The first host of a table in which nothing serves comes back with a drain's reserve

While nothing serves in a table that proxies use or are to use, the return of a host that it names goes with the part of drains; the rest comes back as before. The test fails without: no return where 24 lines of room are left to drains.

--- a/crates/policy/src/publish.rs
+++ b/crates/policy/src/publish.rs
@@ -285,7 +285,8 @@
             });
             let passed = self.passed.iter().any(|tbl| self.present.names(tbl, host));
             let whom = self.present.holders(host, &self.steward.proxies);
-            if ready && !passed && self.take(BACK, &whom, 1.0, &[Order::Withdraw { host, out: false }]) {
+            let may = if self.ends_bareness(wanted, host) { DRAIN } else { BACK };
+            if ready && !passed && self.take(may, &whom, 1.0, &[Order::Withdraw { host, out: false }]) {
                 self.present.held.remove(&host);
                 came.push(host);
             }
@@ -293,6 +294,14 @@
         came
     }
 
+    /// Nothing serves in some table that proxies use or are to use, and the host would. Guards against proxies without a host,
+    /// or without a bind to such a table, while its first host waits like all that comes back.
+    fn ends_bareness(&self, wanted: &Plan, host: HostId) -> bool {
+        let wanted_tables = wanted.used();
+        let mut tables = self.present.used().chain(&wanted_tables);
+        tables.any(|tbl| self.present.names(tbl, host) && self.present.bare(tbl))
+    }
+
     fn set_levels(&mut self, least: (f64, f64, f64, f64), wanted: &Plan) {
         for (&(tbl, products), &(level, tries)) in wanted.levels.iter().filter(|_| !self.steward.awaits) {
             let differs = self.present.levels.get(&(tbl, products)) != Some(&(level, tries));
--- a/crates/policy/tests/policy/stalls.rs
+++ b/crates/policy/tests/policy/stalls.rs
@@ -125,12 +125,9 @@
     fleet.until("withdraw host1", 300.0);
 }
 
-/// Seed 412 of the drills: proxies waited "for a table in which a host serves" for good while nothing waited in the channel,
-/// as answers had been lost and no probe was sent. The probe in turn was a bind to a table in which nothing serves; its hosts
-/// could be let in only once an answer had come.
-#[test]
-fn where_no_table_serves_a_probe_goes_all_the_same() {
-    let mut fleet = Fleet::with_channel(1, 6, 640.0);
+/// 24 proxies at a table of six hosts of which five are gated, and none has answered.
+fn with_one_host(backlog: f64) -> Fleet {
+    let mut fleet = Fleet::with_channel(1, 6, backlog);
     (0..2).for_each(|proxy| fleet.join(proxy));
     fleet.run(1);
     for host in 1..6 {
@@ -141,6 +138,27 @@
     fleet.join_all(&more);
     fleet.run(1);
     fleet.trace.clear();
+    fleet
+}
+
+/// Guards against proxies that have no host while the first that could serve waits like all that comes back: it has the part of
+/// the backlog that drains have.
+#[test]
+fn the_first_host_of_a_table_in_which_nothing_serves_comes_back_as_urgently_as_a_drain_goes() {
+    let mut fleet = with_one_host(640.0);
+    // The last that served: gates count for nothing now. 562 lines may wait with what goes, and each return takes 24 more.
+    fleet.list(0, Standing::Draining, None);
+    assert!(fleet.trace.contains("withdraw host0"), "{}", fleet.trace);
+    assert!(fleet.trace.contains("restore host1"), "{}", fleet.trace);
+    assert!(!fleet.trace.contains("restore host2"), "more than the first:\n{}", fleet.trace);
+}
+
+/// Seed 412 of the drills: proxies waited "for a table in which a host serves" for good while nothing waited in the channel,
+/// as answers had been lost and no probe was sent. The probe in turn was a bind to a table in which nothing serves; its hosts
+/// could be let in only once an answer had come.
+#[test]
+fn where_no_table_serves_a_probe_goes_all_the_same() {
+    let mut fleet = with_one_host(605.0);
     // The last host that served: gates count for nothing now, and what is to be let in finds no room.
     fleet.list(0, Standing::Draining, None);
     assert!(fleet.trace.contains("withdraw host0"), "{}", fleet.trace);
