--- a/crates/steward/tests/soak/main.rs
+++ b/crates/steward/tests/soak/main.rs
@@ -21,6 +21,12 @@
     from.parse().expect("a seed")..to.parse().expect("a seed")
 }
 
+/// How many reloads the processes of a drill counted; each writes its counters as it ends.
+fn reloads(log: &str) -> u64 {
+    let counted = log.split(" reloads=").skip(1).filter_map(|rest| rest.split(' ').next());
+    counted.filter_map(|count| count.parse::<u64>().ok()).sum()
+}
+
 /// What all drills came to.
 #[derive(Default)]
 struct Soaked {
@@ -29,6 +35,11 @@
     void: Vec<u64>,
     restarts: u64,
     late_restarts: u64,
+    /// Spans in which a proxy had no host, and calls, that were looked at.
+    spans_without_host: u64,
+    calls: u64,
+    /// Configurations that moved discovery and the relay, as the controllers count them.
+    reloads: u64,
 }
 
 impl Soaked {
@@ -37,12 +48,16 @@
         let outcome = outcome(drilled);
         let slowest = drilled.verdicts.slowest_restart_ms;
         println!("seed {seed}: {outcome:?}, lag {:?}, slowest restart {slowest:.0} ms", drilled.lag);
+        println!("  {:?}, {:?}", plan.actions, plan.crowds);
         if outcome == Outcome::Void {
             self.void.push(seed);
             return;
         }
         self.restarts += drilled.verdicts.restarts.looked;
         self.late_restarts += drilled.verdicts.restarts.count();
+        self.spans_without_host += drilled.verdicts.no_host.looked;
+        self.calls += drilled.verdicts.after_end.looked;
+        self.reloads += reloads(&drilled.log);
         match outcome {
             Outcome::Broken(wrong) => {
                 print_details(plan, drilled);
@@ -53,15 +68,22 @@
     }
 
     fn assert_kept(&self) {
-        let Soaked { kept, broken, void, restarts, late_restarts } = self;
+        let Soaked { kept, broken, void, restarts, late_restarts, .. } = self;
+        let Soaked { spans_without_host, calls, reloads, .. } = self;
         println!(
             "{kept} kept, {} broken, {} void {void:?}, {late_restarts} of {restarts} restarts late",
             broken.len(),
             void.len()
         );
+        println!("{reloads} reloads, {calls} calls and {spans_without_host} spans without a host looked at");
         assert!(broken.is_empty(), "{broken:#?}");
         assert!(late_restarts * 10 <= *restarts, "{late_restarts} of {restarts} restarts late");
         assert!(kept > &void.len(), "most drills were void: {void:?}");
+        // A soak in which nothing of this happened proves nothing of it.
+        assert!(
+            *restarts > 0 && *reloads > 0 && *calls > 0,
+            "{restarts} restarts, {reloads} reloads, {calls} calls"
+        );
     }
 }
 
