The rest of a reply that was taken in part counts as one message more, not whole again

Callers saw: tables frozen and drains late.

A call that may have been carried out whole still counts twice. For the guard and the judge of residency such a reply is as unsure as before.

--- a/crates/books/src/waiting.rs
+++ b/crates/books/src/waiting.rs
@@ -110,6 +110,15 @@
         self.sent.insert(place, copy);
     }
 
+    /// A part of what went with the mark was taken and the rest goes as a call of its own: one message more to each proxy,
+    /// with a head of so many lines. Its other lines go once, in one call or the other.
+    pub fn parted(&mut self, now: f64, mark: MarkId, head: f64) {
+        let Some(place) = self.sent.iter().position(|sent| sent.mark == mark) else { return };
+        let proxies: Vec<ProxyId> = self.sent[place].lines.keys().copied().collect();
+        proxies.iter().for_each(|proxy| self.count(now, *proxy));
+        self.sent[place].lines.values_mut().for_each(|lines| *lines += head);
+    }
+
     /// The proxy has applied all up to the mark. False: the mark is not known and says nothing.
     pub fn answered(&mut self, proxy: ProxyId, mark: MarkId) -> bool {
         let Some(place) = self.sent.iter().position(|sent| sent.mark == mark) else { return false };
--- a/crates/books/tests/books.rs
+++ b/crates/books/tests/books.rs
@@ -186,6 +186,19 @@
     assert_eq!(messages(&waiting, 2_000.0), 0.0);
 }
 
+/// Guards against a reply that counts twice whole where the relay refused one of its orders: each line goes once, in one call or
+/// the other, and each proxy gets one head more.
+#[test]
+fn the_rest_of_a_reply_that_was_taken_in_part_costs_a_message_and_no_line_twice() {
+    let mut waiting = Waiting::default();
+    let mark = waiting.wrote(1_000.0, lines(&[(0, 10.0), (1, 30.0)]));
+    waiting.parted(2_000.0, mark, 4.0);
+    let messages = |proxy| waiting.messages(2_000.0, 10_000.0, ProxyId(proxy));
+    assert_eq!((messages(0), messages(1), waiting.lines()), (2.0, 2.0, 48.0));
+    assert!(waiting.answered(ProxyId(0), mark));
+    assert_eq!(waiting.lines(), 34.0);
+}
+
 /// Against a walk over the groups one by one.
 #[test]
 fn a_small_table_fills_the_wide_one_above_it_and_no_other() {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -337,10 +337,15 @@
         first: MarkId,
         last: MarkId,
     },
-    /// What went with this mark takes, or may have taken, a message more to each of its proxies.
+    /// What went with this mark may be on its way twice.
     Again {
         mark: MarkId,
     },
+    /// A part of what went with this mark was taken; the rest goes as a call of its own, a message more to each of its
+    /// proxies.
+    Parted {
+        mark: MarkId,
+    },
     /// Calls do not get through, or do again: what is ordered meanwhile reaches the relay later, and whoever has joined
     /// by then.
     Behind {
--- a/crates/policy/src/hear.rs
+++ b/crates/policy/src/hear.rs
@@ -60,6 +60,7 @@
             }
             Event::Together { first, last } => self.waiting.together(*first, *last),
             Event::Again { mark } => self.waiting.again(now, *mark),
+            Event::Parted { mark } => self.waiting.parted(now, *mark, self.channel.head + 1.0),
             Event::Behind { on } => {
                 self.waiting.behind(*on);
                 self.urgent |= !*on;
--- a/crates/steward/src/desk.rs
+++ b/crates/steward/src/desk.rs
@@ -274,6 +274,13 @@
         self.start.elapsed().as_secs_f64() * 1e3
     }
 
+    /// The reply with the mark takes one message more to each of its proxies, or may.
+    fn another_message(&mut self, mark: MarkId, event: fn(MarkId) -> Event) {
+        self.judged(|judge, _| judge.unsure(mark));
+        self.guard_hears(&Event::Again { mark });
+        self.events.extend(self.own(mark).map(event));
+    }
+
     /// Turns what was heard into events; names that are not known are skipped.
     fn hear(&mut self, heard: Heard) {
         match heard {
@@ -344,13 +351,8 @@
             }
             Heard::Behind { on } => self.events.push(Event::Behind { on }),
             Heard::Together { marks } => self.together(&marks),
-            Heard::Again { mark } => {
-                self.judged(|judge, _| judge.unsure(mark));
-                self.guard_hears(&Event::Again { mark });
-                if let Some(mark) = self.own(mark) {
-                    self.events.push(Event::Again { mark });
-                }
-            }
+            Heard::Again { mark } => self.another_message(mark, |mark| Event::Again { mark }),
+            Heard::Parted { mark } => self.another_message(mark, |mark| Event::Parted { mark }),
             Heard::Answered { place } => {
                 self.judged(|judge, _| judge.answered(place));
                 let now = self.now();
--- a/crates/steward/src/heard.rs
+++ b/crates/steward/src/heard.rs
@@ -48,10 +48,14 @@
     Together {
         marks: Vec<MarkId>,
     },
-    /// The reply with this mark takes, or may take, one message more to each of its proxies.
+    /// The reply with this mark may have been carried out, and goes again whole.
     Again {
         mark: MarkId,
     },
+    /// A part of the reply with this mark was taken, and the rest goes as a call of its own.
+    Parted {
+        mark: MarkId,
+    },
     /// Calls do not get through to the relay, or do again.
     Behind {
         on: bool,
--- a/crates/steward/src/relay/mod.rs
+++ b/crates/steward/src/relay/mod.rs
@@ -187,7 +187,9 @@
                         if !refused {
                             self.give_up(queue.given_up(1)).await;
                         }
-                        self.again(queue.straddling().as_slice()).await;
+                        if taken > 0 {
+                            self.parted(&queue).await;
+                        }
                     }
                     CallFault::Syntax => {
                         self.ties.counters.calls_refused.one();
@@ -263,7 +265,7 @@
         queue.doubt = None;
         queue.taken(count);
         self.behind(queue, false).await;
-        self.again(queue.straddling().as_slice()).await;
+        self.parted(queue).await;
         let place = self.gate.ruled.get().place;
         if queue.waiting.is_empty() && place > 0 {
             drop(self.ties.desk.send(Heard::Answered { place }).await);
@@ -346,7 +348,17 @@
         }
     }
 
-    /// Tells of a further message to the proxies of these replies: a repeat, or the rest of a reply.
+    /// Tells of a further message to the proxies of the reply of which a part was taken. Guards against lines that count twice
+    /// where they go once: with a copy of the whole reply for each order that was refused, 4,477 lines were taken to wait in a
+    /// channel that holds 2,086, and nothing was sent until an answer came.
+    async fn parted(&self, queue: &Queue) {
+        if let Some(mark) = queue.straddling() {
+            self.ties.counters.messages_again.one();
+            drop(self.ties.desk.send(Heard::Parted { mark }).await);
+        }
+    }
+
+    /// Tells of replies that may have been carried out and go again.
     async fn again(&self, marks: &[MarkId]) {
         for mark in marks {
             self.ties.counters.messages_again.one();
