Decisions of a reply in files of one job: limits by name, the reply, binds

The limits are a type with a name for each figure, what a reply takes in stands in reply.rs, who is bound and when in binds.rs.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,17 +6,20 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 mod bind_wait;
+mod binds;
 mod health;
 mod hear;
 mod levels;
+mod limits;
 mod parts;
 mod plan;
 mod publish;
+mod reply;
 mod seats;
 mod stall;
 
 pub use parts::{BESIDE, FULL_LOAD};
-use {bind_wait::*, health::*, levels::*, parts::*, plan::*, seats::*, stall::*};
+use {bind_wait::*, health::*, levels::*, limits::*, parts::*, plan::*, reply::*, seats::*, stall::*};
 
 pub struct Steward {
     post: Post,
