--- a/crates/rig/src/drill/discovery.rs
+++ b/crates/rig/src/drill/discovery.rs
@@ -68,8 +68,9 @@
                 serve_connection(stream, answer, door.closes()).await;
             });
         });
-        if let Some(before) = self.door.replace(Some(door.await?)) {
-            before.leave();
+        let before = self.door.replace(Some(door.await?));
+        if let Some(before) = before {
+            before.leave().await;
         }
         Ok(())
     }
--- a/crates/rig/src/drill/door.rs
+++ b/crates/rig/src/drill/door.rs
@@ -5,7 +5,7 @@
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::sleep;
 
 use crate::Fault;
@@ -22,7 +22,10 @@
 }
 
 /// An address at which connections are accepted until it is left.
-pub struct Door(watch::Sender<State>);
+pub struct Door {
+    state: watch::Sender<State>,
+    accepts: JoinHandle<()>,
+}
 
 /// Tells a connection when its door closes.
 #[derive(Clone)]
@@ -38,7 +41,7 @@
         let state = watch::Sender::new(State::Open);
         let mut left = state.subscribe();
         let connections = DoorWatch(state.subscribe());
-        spawn_local(async move {
+        let accepts = spawn_local(async move {
             loop {
                 tokio::select! {
                     accepted = listener.accept() => {
@@ -50,15 +53,19 @@
                 }
             }
         });
-        Ok(Door(state))
+        Ok(Door { state, accepts })
     }
 
-    /// Accepts nothing from now on, and closes what is open a little later.
-    pub fn leave(self) {
-        self.0.send_replace(State::Leaving);
+    /// Accepts nothing from now on, and closes what is open a little later. The address is free when this returns: it may be
+    /// listened at again at once.
+    pub async fn leave(self) {
+        let Door { state, accepts } = self;
+        state.send_replace(State::Leaving);
+        // It ends by itself, and with it the listener.
+        let _ = accepts.await;
         spawn_local(async move {
             sleep(CLOSES_AFTER).await;
-            self.0.send_replace(State::Closed);
+            state.send_replace(State::Closed);
         });
     }
 }
--- a/crates/rig/src/drill/relay.rs
+++ b/crates/rig/src/drill/relay.rs
@@ -125,8 +125,9 @@
         let door = Door::open(to, move |stream, door| {
             spawn_local(relay.clone().serve(stream, door));
         });
-        if let Some(before) = self.door.replace(Some(door.await?)) {
-            before.leave();
+        let before = self.door.replace(Some(door.await?));
+        if let Some(before) = before {
+            before.leave().await;
         }
         Ok(())
     }
