A drill keeps its addresses until its listeners end, and sixteen drills run at a time

The block is dropped after the tasks and the runtime now. At most sixteen drills run at a time in a test process; the rest wait for a place. A fault of the drill, not of the controller.

--- a/crates/rig/src/drill/lifecycle.rs
+++ b/crates/rig/src/drill/lifecycle.rs
@@ -51,7 +51,7 @@
 
 /// What stands round the process.
 pub struct Scene {
-    pub block: Block,
+    pub block: Rc<Block>,
     pub settings: Settings,
     pub hosts: Vec<Rc<Host>>,
     pub discovery: Rc<Discovery>,
--- a/crates/rig/src/drill/mod.rs
+++ b/crates/rig/src/drill/mod.rs
@@ -267,14 +267,21 @@
 pub fn drill(binary: &Path, plan: &DrillPlan, folder: &Path) -> Result<Drilled, Fault> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|why| Fault::Io("a runtime", why))?;
-    tokio::task::LocalSet::new().block_on(&runtime, play(binary, plan, folder))
+    let block = Rc::new(Block::take()?);
+    let tasks = tokio::task::LocalSet::new();
+    let drilled = tasks.block_on(&runtime, play(binary, plan, folder, block.clone()));
+    // Listeners end with their tasks. Another drill may have the addresses only after that.
+    drop(tasks);
+    drop(runtime);
+    drop(block);
+    drilled
 }
 
-async fn play(binary: &Path, plan: &DrillPlan, folder: &Path) -> Result<Drilled, Fault> {
+async fn play(binary: &Path, plan: &DrillPlan, folder: &Path, block: Rc<Block>) -> Result<Drilled, Fault> {
     let recorder = Recorder::default();
     let settings = &plan.settings;
     let start_ns = now_ns();
-    let (scene, reachable) = stand(settings, &recorder).await?;
+    let (scene, reachable) = stand(block, settings, &recorder).await?;
     let scene = Rc::new(scene);
     let Scene { relay, discovery, block, .. } = &*scene;
     let (news, _) = watch::channel(0);
@@ -344,8 +351,11 @@
 }
 
 /// All that stands round the process.
-async fn stand(settings: &Settings, recorder: &Recorder) -> Result<(Scene, Rc<Reachable>), Fault> {
-    let block = Block::take()?;
+async fn stand(
+    block: Rc<Block>,
+    settings: &Settings,
+    recorder: &Recorder,
+) -> Result<(Scene, Rc<Reachable>), Fault> {
     let Hosts { all: hosts, reachable } = stand_hosts(&block, settings).await?;
     let proxies = Proxies::new(settings, &hosts, recorder.clone());
     let discovery = Discovery::stand(&block, &hosts, recorder.clone()).await?;
--- a/crates/steward/tests/drill/mod.rs
+++ b/crates/steward/tests/drill/mod.rs
@@ -1,7 +1,36 @@
 //! Plays drills with the program under test and says what is wrong with each.
 
+use std::sync::{Condvar, Mutex};
+
 use amberarch_rig::drill::{drill, DrillPlan, Drilled};
 
+/// Drills that run at one time, whatever tests they belong to: more of them stand still beside other work and are void.
+const AT_ONCE: usize = 16;
+static RUNNING: Mutex<usize> = Mutex::new(0);
+static ENDED: Condvar = Condvar::new();
+
+/// One of the drills that run; its place is free again when it is dropped.
+struct Place;
+
+impl Place {
+    fn take() -> Place {
+        let running = RUNNING.lock().expect("the count of drills");
+        let mut running =
+            ENDED.wait_while(running, |running| *running >= AT_ONCE).expect("the count of drills");
+        *running += 1;
+        Place
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if let Ok(mut running) = RUNNING.lock() {
+            *running -= 1;
+        }
+        ENDED.notify_one();
+    }
+}
+
 /// The program under test: the one that was built with the tests, or another that the environment names.
 fn program() -> std::path::PathBuf {
     match std::env::var_os("AMBERARCH_UNDER_TEST") {
@@ -16,6 +45,7 @@
 /// Plays it until a play is not void; the last one is given back in any case.
 pub fn play(plan: &DrillPlan) -> Drilled {
     let play_once = || {
+        let _place = Place::take();
         let folder = tempfile::tempdir().expect("a folder");
         drill(&program(), plan, folder.path()).expect("a drill")
     };
