--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,99 +1,50 @@
-"""The zone of a controller that belongs to a fleet is cut off for 6 s; meanwhile a host leaves the list."""
+"""Answers of the relay are lost for 2 s while hosts drain and one proxy comes and goes; later another host drains."""
 import asyncio
 import os
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
-from standin import BLOCK, Link, World, free_port, play
+from standin import World, play
 
-ZONES = ["north", "south"]
-SECTION = """[fleet]
-id = "small"
-name = "{name}"
-listen = "{listen}"
-folder = "{folder}"
-policy = "{policy}"
-govern = ["pay"]
-acts = "2s"
-knows = "6s"
-drift = 0.01
-slack = "100ms"
-linger = "1s"
-election = "500ms"
-beat = "100ms"
-check_within = "5s"
-"""
-MEMBER = """
-[[fleet.member]]
-name = "{name}"
-address = "{address}"
-votes = true
-"""
-CUT, LEAVES_AFTER = 6.0, 0.5
-
-
-def text(address):
-    return "%s:%d" % address
+ZONE, CLASSES = "main", ["view", "list", "pay"]
 
 
 async def scenario(folder, trouble):
-    common = {"effects": {"pay": "single_shot"}, "standing": 5}
-    world = World(folder, ZONES, ["view", "pay"], {"north": 3, "south": 3}, **common)
-    for zone in ZONES:
-        for number in range(4):
-            world.host("%s-%d" % (zone[0], number), zone)
-    # Two more members vote; no proxy is theirs.
-    members = [world]
-    for number in (1, 2):
-        own = os.path.join(world.work, "n%d" % number)
-        os.mkdir(own)
-        members.append(World(own, ZONES, ["view", "pay"], {"north": 0, "south": 0}, name="n%d" % number, net=number, **common))
-    listens = [(BLOCK % (4 + 10 * member, 1), free_port(BLOCK % (4 + 10 * member, 1))) for member in range(3)]
-    # What the first member says to the others and hears from them goes over links that can be cut.
-    links = {}
-    for one, other in ((0, 1), (0, 2), (1, 0), (2, 0)):
-        links[one, other] = Link(BLOCK % (5 + 10 * one, other + 1), listens[other])
-        await links[one, other].start()
-    for number, member in enumerate(members):
-        await member.start()
-        policy, operator = os.path.join(member.work, "policy.toml"), os.path.join(member.work, "operator.toml")
-        with open(policy, "w") as file:
-            file.write("revision = 1\n\n[residency]\n")
-        section = SECTION.format(
-            name=member.name, listen=text(listens[number]), folder=os.path.join(member.work, "fleet"), policy=policy)
-        for other in range(3):
-            link = links.get((number, other))
-            at = (link.address, link.port) if link else listens[other]
-            section += MEMBER.format(name="n%d" % other, address=text(at))
-        with open(operator, "w") as file:
-            file.write(section)
-        member.operator = operator
-    await asyncio.gather(*(member.controller(arguments=" run --operator %s" % member.operator) for member in members))
-    for proxy in world.proxies:
+    world = World(
+        folder, [ZONE], CLASSES, {ZONE: 21}, effects={"pay": "single_shot"}, standing=8, head=6, lines_per_s=400.0,
+        backlog=600.0, transit=0.2, worst_transit=0.5, rate=3.0)
+    hosts = [world.host("h-%d" % number, ZONE) for number in range(12)]
+    await world.start()
+    await world.controller()
+    comer, others = world.proxies[0], world.proxies[1:]
+    for proxy in others:
         world.relay.join(proxy)
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(0.15)
     world.begin_traffic()
-    await asyncio.sleep(14)
+    await asyncio.sleep(8)
 
     if trouble:
-        world.record.line("case", "the controller's zone is cut off: its relay and the other members are out of reach")
-        world.relay.cut_off()
-        for link in links.values():
-            link.cut = True
-    await asyncio.sleep(LEAVES_AFTER)
-    leaving = world.hosts["n-1"]
-    await leaving.stop()
-    leaving.health = "terminated"
-    await world.discovery.change(leaving)
-    await asyncio.sleep(CUT - LEAVES_AFTER)
+        world.relay.answers_lost()
+    for pair in (hosts[0:2], hosts[2:4]):
+        for host in pair:
+            host.health = "terminating"
+        await world.discovery.change(*pair)
+        await asyncio.sleep(0.4)
+    # A proxy starts, and its stream breaks.
+    world.relay.join(comer)
+    await asyncio.sleep(0.45)
+    world.relay.leave(comer)
+    await asyncio.sleep(0.3)
     if trouble:
-        world.record.line("case", "the zone is no longer cut off")
         world.relay.back()
-        for link in links.values():
-            link.cut = False
-        # No limit runs during the cut, nor for 4 s after it: more than the page grants for what the relay breaks off.
-        world.excused_until = world.record.now() + 4.0
-    await asyncio.sleep(16)
+
+    # From here on all is well.
+    await asyncio.sleep(8)
+    hosts[7].health = "terminating"
+    await world.discovery.change(hosts[7])
+    await asyncio.sleep(4)
+    world.relay.join(comer)
+    await asyncio.sleep(20)
     return world
 
 
