--- a/review/4/case.py
+++ b/review/4/case.py
@@ -7,7 +7,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
-from standin import Deployment, Host, Proxy, free_port, settings
+from standin import Deployment, Host, Proxy, campus, free_port
 
 LISTED_AFTER = 1.2        # discovery add_s: 0.23 to 2.5 s
 STALL, APART = 1.9, 2.6   # stewards stand still for 1.5 to 2 s again and again
@@ -41,18 +41,6 @@
 """
 
 
-def campus(zones):
-    """Settings inside the ranges of the campus: two buildings, and a class that stays in its own."""
-    given = settings(zones, proxies=8, own_zone=(False, True), rules__drainGrace=2_000_000_000, rules__fallMultiple=2.5,
-                     rules__overloadFor=1_500_000_000)
-    given["classes"] = [dict(given["classes"][0], name="menu-view", goalTime=2_000_000_000, deadline=5_000_000_000),
-                        dict(given["classes"][2], name="order-pay", goalTime=1_200_000_000, deadline=3_000_000_000)]
-    given["familyInfo"].update(classWrites=[False, True], egressPerS=12000.0, backlog=18000.0, overhead=3.0,
-                               reloadsMax=0, levelKind="fraction", bootstrap=8, reportEvery=1_000_000_000,
-                               reportsPerS=100.0)
-    return given
-
-
 async def main(folder, temp, trouble):
     zones = ("main-block", "back-block")
     given = campus(zones)
--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -21,10 +21,22 @@
     return time.monotonic()
 
 
+_chosen = set()
+
+
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """A port that is free now and below the range from which outgoing connections take theirs."""
+    while True:
+        port = random.SystemRandom().randrange(12_000, 30_000)
+        if port in _chosen:
+            continue
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _chosen.add(port)
+        return port
 
 
 class Record:
@@ -565,8 +577,8 @@
     """An address where connections are taken and nothing is ever answered."""
     async def serve(reader, writer):
         await asyncio.sleep(3600)
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    return server, server.sockets[0].getsockname()[1]
+    port = free_port()
+    return await asyncio.start_server(serve, "127.0.0.1", port), port
 
 
 class Deployment:
@@ -672,7 +684,9 @@
         raise RuntimeError("the controller was not ready in time")
 
     def warm_host(self, host):
-        row = self.discovery.told_state.get(host.name) or self.discovery.rows[host.name]
+        row = self.discovery.told_state.get(host.name) or self.discovery.rows.get(host.name)
+        if row is None:
+            return False
         born = row["born_ms"]
         return row["health"] == "in_service" and (born == 0 or time.time() - born / 1e3 >= self.warm)
 
@@ -847,3 +861,15 @@
         section, key = path.split("__")
         built[section][key] = value
     return built
+
+
+def campus(zones):
+    """Settings inside the ranges of the campus: two buildings, and a class that stays in its own."""
+    given = settings(zones, proxies=8, own_zone=(False, True), rules__drainGrace=2_000_000_000, rules__fallMultiple=2.5,
+                     rules__overloadFor=1_500_000_000)
+    given["classes"] = [dict(given["classes"][0], name="menu-view", goalTime=2_000_000_000, deadline=5_000_000_000),
+                        dict(given["classes"][2], name="order-pay", goalTime=1_200_000_000, deadline=3_000_000_000)]
+    given["familyInfo"].update(classWrites=[False, True], egressPerS=12000.0, backlog=18000.0, overhead=3.0,
+                               reloadsMax=0, levelKind="fraction", bootstrap=8, reportEvery=1_000_000_000,
+                               reportsPerS=100.0)
+    return given
