Hosts whose restore did not reach the relay are restored again

Cause: new decisions know of no withdrawal, so the event loop restores what former ones withdrew. It kept that in two sets, one changed when a decision gave an order, the other emptied when its hosts were put into a call. A reply that was dropped with its lease, refused with its whole call, lost in a full queue or held back by the guard put neither right.

Change: desk/withdrawals.rs is the one account of what may be withdrawn at the relay. It changes when a reply is passed on to the task that sends calls; a restore that the task reports as dropped or refused makes its host withdrawn again, unless a later order withdrew it, and the next call restores it, alone where the decisions have no orders. A restore twice has the effect of one. A restore ahead of new decisions that the policy's check refuses does not start them anew, as they would refuse it each second.

Tests: steward/withdrawals.rs, five with a forced order and a property test of 400 cases.

--- a/crates/steward/src/desk.rs
+++ b/crates/steward/src/desk.rs
@@ -27,6 +27,9 @@
 mod hosts;
 mod proxies;
 mod replies;
+pub mod withdrawals;
+
+use withdrawals::Withdrawals;
 
 /// The names that the line protocol and host lists use, in the order of the settings.
 pub struct Labels {
@@ -85,10 +88,8 @@
     start: Instant,
     /// The controller is not called before this time.
     resume: Instant,
-    /// Hosts that are withdrawn by the orders so far.
-    withdrawn_hosts: BTreeSet<HostId>,
-    /// Hosts that the next call restores ahead of its orders.
-    to_restore: BTreeSet<HostId>,
+    /// Hosts that may be withdrawn at the relay.
+    withdrawals: Withdrawals,
     /// When the list was last received or confirmed, on the controller's clock, ms.
     list_confirmed_at: f64,
     /// Unix time, independent of steps of the system clock.
@@ -143,8 +144,7 @@
             timers: BinaryHeap::new(),
             start: Instant::now(),
             resume: Instant::now(),
-            withdrawn_hosts: BTreeSet::new(),
-            to_restore: BTreeSet::new(),
+            withdrawals: Withdrawals::default(),
             list_confirmed_at: 0.0,
             unix,
             events: Vec::new(),
@@ -204,8 +204,16 @@
         }
     }
 
-    /// Reports orders that were not carried out.
+    /// Records orders that were not carried out, or only maybe.
     fn gave_up(&mut self, orders: &[Order]) {
+        for order in orders {
+            match order {
+                Order::Withdraw { host, withdrawn: false } if self.hosts.contains_key(host) => {
+                    self.withdrawals.restore_not_carried_out(*host);
+                }
+                _ => {}
+            }
+        }
         self.with_judge(|judge, _| judge.gave_up(orders));
         if let Some(guard) = &mut self.guard {
             guard.gave_up(orders);
@@ -273,7 +281,7 @@
             }
             if let Some(policy_lease) = &mut self.policy_lease {
                 policy_lease.sees(now, || {
-                    in_service_weights(&self.hosts, &self.withdrawn_hosts, &self.weight_fractions)
+                    in_service_weights(&self.hosts, self.withdrawals.hosts(), &self.weight_fractions)
                 });
             }
         }
@@ -394,7 +402,7 @@
                 self.gave_up(&orders);
                 if incarnation == self.incarnation {
                     warn!(self.log, "orders were dropped because their lease or policy stage is no longer in force; \
-                        the decisions start anew"; "orders" => orders.len());
+                        the decisions start anew"; "orders" => orders.len(), "restores" => count_restores(&orders));
                     self.start_anew();
                 }
             }
@@ -489,7 +497,7 @@
     /// of its own orders and in the same message. A controller that fails repeatedly is restarted once a second.
     fn start_anew(&mut self) {
         self.resume = Instant::now().max(self.resume + Duration::from_secs(1));
-        self.to_restore.append(&mut self.withdrawn_hosts);
+        self.withdrawals.decisions_restarted();
         self.incarnation += 1;
         self.first_mark = self.first_mark.wrapping_add(MARKS_PER_INCARNATION);
         if let Some(policy_lease) = &mut self.policy_lease {
@@ -515,6 +523,11 @@
     }
 }
 
+/// How many of the orders restore a host.
+fn count_restores(orders: &[Order]) -> usize {
+    orders.iter().filter(|order| matches!(order, Order::Withdraw { withdrawn: false, .. })).count()
+}
+
 /// The weight that the hosts of each zone carry that are in service and not withdrawn, in listed weights.
 fn in_service_weights(
     hosts: &BTreeMap<HostId, KnownHost>,
--- a/crates/steward/src/desk/replies.rs
+++ b/crates/steward/src/desk/replies.rs
@@ -47,41 +47,51 @@
                     if let Order::Withdraw { host, withdrawn } = order {
                         self.learnt(*host, None, Some(*withdrawn));
                     }
-                    match order {
-                        Order::Mark { mark: number, .. } => mark = Some(*number),
-                        Order::Withdraw { host, withdrawn: true } => drop(self.withdrawn_hosts.insert(*host)),
-                        Order::Withdraw { host, withdrawn: false } => drop(self.withdrawn_hosts.remove(host)),
-                        _ => {}
+                    if let Order::Mark { mark: number, .. } = order {
+                        mark = Some(*number);
                     }
                     calls.push(order);
                 }
             }
         }
         let guard_holds_back = self.guard.as_ref().is_some_and(Keeper::waits);
-        if (!calls.is_empty() || guard_holds_back) && !self.call(calls, mark) {
+        let restores_alone = calls.is_empty() && self.withdrawals.restores_due();
+        let sent = if restores_alone {
+            self.call_with_own_mark(false)
+        } else {
+            calls.is_empty() && !guard_holds_back || self.call(calls, mark)
+        };
+        if !sent {
             return;
         }
         for host in forgotten_hosts {
             self.with_judge(|judge, _| judge.forgotten(host));
             self.names.forget(host);
             self.hosts.remove(&host);
-            self.withdrawn_hosts.remove(&host);
+            self.withdrawals.forget(host);
             self.weight_fractions.remove(&host);
         }
     }
 
-    /// Orders a mark alone, whose answers show what proxies hold. Its number can't be one of the controller's: those count
-    /// up from the first of the incarnation, these count down from it.
+    /// Orders a mark alone, whose answers show what proxies hold.
     pub(super) fn ask_proxies(&mut self) {
+        self.call_with_own_mark(true);
+    }
+
+    /// A call without orders of the controller. Its mark can't be one of the controller's: those count up from the first of
+    /// the incarnation, these count down from it.
+    fn call_with_own_mark(&mut self, all_proxies: bool) -> bool {
         self.poll_marks = (self.poll_marks + 1) % (MARKS_PER_INCARNATION / 4);
         let mark = MarkId(self.first_mark.wrapping_sub(1 + self.poll_marks));
-        self.call(vec![&Order::Mark { mark, all_proxies: true }], Some(mark));
+        self.call(vec![&Order::Mark { mark, all_proxies }], Some(mark))
     }
 
     /// Checks a reply against the policy and hands it to the relay. False if the controller was restarted because of it.
     pub(super) fn call(&mut self, calls: Vec<&Order>, mark: Option<MarkId>) -> bool {
-        let to_restore = std::mem::take(&mut self.to_restore).into_iter();
-        let ahead: Vec<Order> = to_restore.map(|host| Order::Withdraw { host, withdrawn: false }).collect();
+        let restores = self.withdrawals.take_restores();
+        if !restores.is_empty() {
+            info!(self.log, "hosts that former decisions withdrew are restored"; "hosts" => restores.len());
+        }
         let now = self.now();
         // First repairs what an earlier incarnation left in tables and this one does not know of.
         let repairs = match &mut self.policy_lease {
@@ -89,7 +99,7 @@
             _ => vec![],
         };
         let mut orders: Vec<Order> =
-            repairs.into_iter().chain(ahead).chain(calls.into_iter().cloned()).collect();
+            repairs.into_iter().chain(restores.iter().cloned()).chain(calls.into_iter().cloned()).collect();
         let (mut place, mut restart) = (0, false);
         if let Some(guard) = &mut self.guard {
             (orders, place, restart) = guard.pass(now, orders);
@@ -121,7 +131,8 @@
             self.start_anew();
             return false;
         }
-        if !sifted.refused.is_empty() {
+        // New decisions could not restore a host either that the policy keeps out.
+        if sifted.refused.iter().any(|(order, _)| !restores.contains(order)) {
             error!(self.log, "a reply would have broken residency; the decisions start anew");
             self.start_anew();
             return false;
@@ -136,7 +147,7 @@
         ruled: DecidedUnder,
     ) -> bool {
         let name = |host| self.names.name(host).map(String::from);
-        let keep_order = self.policy_lease.is_some() || self.guard.is_some();
+        let is_checked = self.policy_lease.is_some() || self.guard.is_some();
         let encoded = |order: &Order| {
             let binds = match order {
                 &Order::Bind { proxy, .. } => Some(proxy),
@@ -147,9 +158,11 @@
                 _ => None,
             };
             let bytes = orders::encode(order, name, &self.labels.products)?;
+            let keep_order = is_checked || matches!(order, Order::Withdraw { .. });
             Some(Encoded { bytes, binds, mark, order: keep_order.then(|| order.clone()) })
         };
-        let orders = orders.filter_map(encoded).collect();
+        let (sent, orders): (Vec<&Order>, Vec<Encoded>) =
+            orders.filter_map(|order| Some((order, encoded(order)?))).unzip();
         self.counters.replies.one();
         // The controller's own count of waiting messages keeps this queue far below its size. The event loop never
         // blocks: should the queue be full nevertheless, a restart of the controller replaces the lost reply.
@@ -164,6 +177,7 @@
             self.start_anew();
             return false;
         }
+        sent.into_iter().for_each(|order| self.withdrawals.passed_on(order));
         true
     }
 
--- a/crates/steward/src/heard.rs
+++ b/crates/steward/src/heard.rs
@@ -190,6 +190,6 @@
     pub bytes: Bytes,
     pub binds: Option<ProxyId>,
     pub mark: Option<MarkId>,
-    /// The order itself, kept where a lease or guard has to be told if it is not written.
+    /// The order itself, kept where the event loop has to make up for it if it is not written.
     pub order: Option<Order>,
 }
--- a/crates/steward/tests/steward/governed.rs
+++ b/crates/steward/tests/steward/governed.rs
@@ -81,13 +81,17 @@
     "revision = 2\n[[residency.rule]]\nname = \"any\"\nproducts = [\"read\"]\nfrom = [\"b\"]\npermit = [\"a\"]\n";
 
 fn told(heard: Vec<(u64, Heard)>) -> String {
+    told_by(|trace, seed| Box::new(Widens(trace, seed)), heard)
+}
+
+fn told_by(decisions: fn(Trace, u64) -> Box<dyn Decide>, heard: Vec<(u64, Heard)>) -> String {
     for_ms(3_900, |trace| async move {
         let (relay, mut replies) = mpsc::channel(64);
         let (list, _asks) = mpsc::channel(64);
         let (probes, _probed) = mpsc::channel(64);
         let make: Make = {
             let trace = trace.clone();
-            Box::new(move |seed| Box::new(Widens(trace.clone(), seed)))
+            Box::new(move |seed| decisions(trace.clone(), seed))
         };
         let caps = ShareLimits::default();
         let Facts { zones, products, .. } = facts();
@@ -182,6 +186,55 @@
     "#]].assert_eq(&told(vec![(100, holds(1, AT_HOME)), (200, joins(1))]));
 }
 
+/// A controller whose first incarnation orders a withdrawn host of zone a for the proxy of zone b as it joins, and restores
+/// the host at the proxy's answer.
+struct RestoresOutside(bool);
+
+impl Decide for RestoresOutside {
+    fn decide(&mut self, _: f64, events: &[Event]) -> Vec<Order> {
+        let (table, host) = (TableId(4), HostId(0));
+        let mut out = Vec::new();
+        for event in events.iter().filter(|_| self.0) {
+            match event {
+                Event::ProxyJoined { proxy, .. } => {
+                    out.push(Order::Withdraw { host, withdrawn: true });
+                    out.push(Order::SetEntry { table, host, weight: 1.0 });
+                    out.push(Order::Bind { proxy: *proxy, table, classes: ClassSet::ALL });
+                    out.push(Order::Mark { mark: MarkId(7), all_proxies: true });
+                }
+                Event::MarkApplied { .. } => out.push(Order::Withdraw { host, withdrawn: false }),
+                _ => {}
+            }
+        }
+        out
+    }
+}
+
+/// Guards against decisions that start anew every second: new ones restore what former ones withdrew, and where the policy
+/// refuses just that the host stays withdrawn.
+#[test]
+fn a_restore_ahead_of_new_decisions_that_would_break_residency_does_not_start_them_anew() {
+    let applied = Heard::News(News::Applied { proxy: 1, mark: 7, took_ms: 20.0 });
+    let heard = vec![(100, holds(1, AT_HOME)), (200, joins(1)), (300, applied)];
+    let told = told_by(|_, seed| Box::new(RestoresOutside(seed == 5)), heard);
+    let from = told.find("200 ").unwrap_or(0);
+    expect![[r#"
+        200 stage 1 settled: false
+        200 reply under 1 of life 0
+        {"op":"withdraw","server":"s-a"}
+        {"op":"share","server":"s-a","table":4,"weight":1.0}
+        {"op":"bind","proxy":1,"table":4}
+        {"nonce_out":7,"on":1,"op":"mark"}
+        300 reply under 1 of life 0
+
+        1000 stage 1 settled: true
+        1000 reply under 1 of life 1
+        {"nonce_out":4094,"on":0,"op":"mark"}
+        3500 breaches 2
+    "#]]
+    .assert_eq(&told[from..]);
+}
+
 /// Guards against serving a request class that the fleet governs and the file here does not name: it is rejected like all
 /// others while this controller can't use the policy in force.
 #[test]
--- a/crates/steward/tests/steward/main.rs
+++ b/crates/steward/tests/steward/main.rs
@@ -14,3 +14,4 @@
 mod probes;
 mod relay;
 mod start;
+mod withdrawals;
