A proxy counts as bound once it uses a table for each request class

Cause: PublishedState counted a proxy with any bind as bound. So hosts were forgotten while it could still hold them, and its message was missing from the lines counted for a withdrawal that reaches it (`possible_holders`, rule 5).

Evidence: rejoins::no_host_is_forgotten_while_a_proxy_is_bound_for_one_class_alone fails before ("forget host0" one tick after the first bind) and passes after.

Change: PublishedState knows the request classes; a proxy is bound when each of them uses a table.

--- a/crates/books/src/present.rs
+++ b/crates/books/src/present.rs
@@ -29,18 +29,20 @@
     possible_users: BTreeMap<TableKey, BTreeSet<ProxyId>>,
     /// The tables that proxies which left in this batch of events used or may have used.
     just_left: BTreeMap<ProxyId, BTreeMap<TableKey, ClassSet>>,
-    /// The number of proxies that use some table.
+    /// The number of bound proxies.
     bound_proxies: usize,
     zones: u16,
+    /// One bit for each request class.
+    class_bits: u64,
     allocated_ids: BTreeMap<TableKey, u16>,
     /// The next table id to try, counted from the first allocated one; none: no id was allocated yet.
     next_id: Option<u16>,
 }
 
 impl PublishedState {
-    /// Nothing is published yet, in so many zones.
-    pub fn new(zones: u16) -> PublishedState {
-        PublishedState { zones, ..PublishedState::default() }
+    /// Nothing is published yet, in so many zones and for these request classes.
+    pub fn new(zones: u16, classes: ClassSet) -> PublishedState {
+        PublishedState { zones, class_bits: classes.0, ..PublishedState::default() }
     }
 
     /// The entries of each known table.
@@ -124,6 +126,18 @@
         own_binds.map(|((_, table), classes)| (*table, *classes))
     }
 
+    /// The request classes for which the proxy uses no table, by one bit each. For these it goes on with tables that
+    /// this state does not know, and with the withdrawals that it knew of when it joined.
+    pub fn unbound_class_bits(&self, proxy: ProxyId) -> u64 {
+        let bound = self.binds_of(proxy).fold(0, |all, (_, classes)| all | classes.0);
+        self.class_bits & !bound
+    }
+
+    /// Whether the proxy uses a table for each request class.
+    pub fn is_bound(&self, proxy: ProxyId) -> bool {
+        self.unbound_class_bits(proxy) == 0 && self.binds_of(proxy).next().is_some()
+    }
+
     /// The tables that a proxy uses for these request classes.
     pub fn tables_used_for(&self, proxy: ProxyId, classes: ClassSet) -> Vec<TableKey> {
         self.binds_of(proxy)
@@ -177,6 +191,7 @@
 
     /// Binds the proxy to the table for these request classes, instead of any other table.
     pub fn bind(&mut self, proxy: ProxyId, table: TableKey, classes: ClassSet) {
+        let was_bound = self.is_bound(proxy);
         let had: Vec<(TableKey, ClassSet)> = self.binds_of(proxy).collect();
         for (other, had) in had.iter().filter(|bound| bound.0 != table) {
             match ClassSet(had.0 & !classes.0) {
@@ -187,7 +202,7 @@
         self.end_lingering(proxy, classes);
         self.binds.entry((proxy, table)).or_insert(ClassSet(0)).0 |= classes.0;
         self.users.entry(table).or_default().insert(proxy);
-        self.bound_proxies += usize::from(had.is_empty());
+        self.bound_proxies += usize::from(!was_bound && self.is_bound(proxy));
     }
 
     fn unbind(&mut self, proxy: ProxyId, table: TableKey) {
@@ -202,9 +217,9 @@
 
     /// The proxy left: it holds nothing any more, unless it joins again within the same batch of events.
     pub fn proxy_left(&mut self, proxy: ProxyId) {
+        self.bound_proxies -= usize::from(self.is_bound(proxy));
         let had: Vec<(TableKey, ClassSet)> = self.binds_of(proxy).collect();
         had.iter().for_each(|(table, _)| self.unbind(proxy, *table));
-        self.bound_proxies -= usize::from(!had.is_empty());
         let mut used = self.lingering.remove(&proxy).unwrap_or_default();
         for table in used.keys() {
             self.remove_possible_user(proxy, *table);
@@ -297,7 +312,7 @@
         (!tables.is_empty()).then(|| tables.iter().any(|table| self.lacks_usable_host(table)))
     }
 
-    /// Some proxy uses no table yet.
+    /// Some proxy is not bound yet.
     pub fn has_unbound_proxies(&self, proxies: &BTreeMap<ProxyId, Proxy>) -> bool {
         self.bound_proxies < proxies.len()
     }
@@ -309,7 +324,7 @@
         let mut possible_holders: BTreeSet<ProxyId> =
             tables.filter_map(|table| self.users.get(table)).flatten().copied().collect();
         if self.has_unbound_proxies(proxies) {
-            possible_holders.extend(proxies.keys().filter(|id| self.binds_of(**id).next().is_none()));
+            possible_holders.extend(proxies.keys().filter(|id| !self.is_bound(**id)));
         }
         possible_holders.into_iter().collect()
     }
--- a/crates/books/src/told.rs
+++ b/crates/books/src/told.rs
@@ -51,6 +51,12 @@
         Reach::new(self.rules.get(&(home, class)).copied(), own_zone, home, self.all_zones)
     }
 
+    /// All request classes.
+    pub fn all_classes(&self) -> ClassSet {
+        let ids = (0..self.own_zone.len() as u16).map(ClassId);
+        ClassSet(ids.fold(0, |all, id| all | ClassSet::one(id).0))
+    }
+
     /// The request classes of the home zone, grouped by their reach.
     pub fn classes_by_reach(&self, home: ZoneId) -> BTreeMap<Reach, ClassSet> {
         let mut classes = BTreeMap::new();
--- a/crates/books/tests/books.rs
+++ b/crates/books/tests/books.rs
@@ -271,7 +271,7 @@
 #[test]
 fn tables_that_are_added_and_removed_never_share_an_id() {
     let zones = 128;
-    let mut state = PublishedState::new(zones);
+    let mut state = PublishedState::new(zones, ClassSet(0b1));
     let deepest = 2 * PublishedState::max_groups(zones) - 1;
     let last = state.table_id((ZoneId(zones - 1), Reach::HomeZone, deepest));
     assert!(last.0 < 0x8000, "{last:?}");
@@ -301,7 +301,7 @@
 #[test]
 fn a_new_state_allocates_other_ids() {
     let numbers = |now: f64| -> std::collections::BTreeSet<TableId> {
-        let mut state = PublishedState::new(3);
+        let mut state = PublishedState::new(3, ClassSet(0b1));
         let tables: Vec<TableKey> = (1..=500).map(|node| (ZoneId(0), only(&[1]), node)).collect();
         tables.iter().for_each(|table| assert!(state.ensure_table(now, *table)));
         tables.iter().map(|table| state.table_id(*table)).collect()
@@ -314,7 +314,7 @@
 
 #[test]
 fn a_request_class_that_moves_leaves_the_others_in_place() {
-    let mut state = PublishedState::new(2);
+    let mut state = PublishedState::new(2, ClassSet(0b11));
     let (proxy, old, new) = (ProxyId(3), (ZoneId(0), Reach::AnyZone, 1), (ZoneId(0), Reach::HomeZone, 1));
     let missing = |state: &PublishedState, table: TableKey, classes: ClassSet| {
         state.missing_binds(&DesiredState {
--- a/crates/books/tests/lingering.rs
+++ b/crates/books/tests/lingering.rs
@@ -11,7 +11,7 @@
 
 /// Both proxies use the old table for two request classes; the first one left.
 fn left() -> PublishedState {
-    let mut state = PublishedState::new(1);
+    let mut state = PublishedState::new(1, ClassSet(0b11));
     state.bind(ONE, OLD, ClassSet(0b11));
     state.bind(OTHER, OLD, ClassSet(0b11));
     state.proxy_left(ONE);
--- a/crates/books/tests/present.rs
+++ b/crates/books/tests/present.rs
@@ -10,6 +10,8 @@
 const ZONES: u16 = 3;
 const HOSTS: u32 = 5;
 const PROXIES: u16 = 5;
+const CLASSES: u16 = 3;
+const ALL_CLASSES: ClassSet = ClassSet(0b111);
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -78,6 +80,12 @@
         own_binds.map(|((_, table), of)| (*table, *of)).collect()
     }
 
+    fn is_bound(&self, proxy: ProxyId) -> bool {
+        let is_bound_for =
+            |class: &ClassId| self.binds_of(proxy).iter().any(|(_, of)| of.0 & ClassSet::one(*class).0 != 0);
+        (0..CLASSES).map(ClassId).all(|class| is_bound_for(&class))
+    }
+
     fn bind(&mut self, proxy: ProxyId, table: TableKey, classes: ClassSet) {
         self.binds.iter_mut().filter(|bind| bind.0 .0 == proxy).for_each(|bind| bind.1 .0 &= !classes.0);
         self.binds.entry((proxy, table)).or_insert(ClassSet(0)).0 |= classes.0;
@@ -101,7 +109,7 @@
 
     fn forget_hosts(&mut self, gone: &[HostId], joined: &BTreeMap<ProxyId, Proxy>) -> BTreeSet<HostId> {
         let named = |id: &HostId| self.tables.values().any(|entries| entries.contains_key(id));
-        let bound = joined.keys().all(|id| !self.binds_of(*id).is_empty());
+        let bound = joined.keys().all(|id| self.is_bound(*id));
         let gone: BTreeSet<HostId> = gone.iter().filter(|id| bound && !named(id)).copied().collect();
         self.withdrawn.retain(|id| !gone.contains(id));
         gone
@@ -110,10 +118,8 @@
     fn possible_holders(&self, host: HostId, joined: &BTreeMap<ProxyId, Proxy>) -> Vec<ProxyId> {
         let names =
             |table: &TableKey| self.tables.get(table).is_some_and(|entries| entries.contains_key(&host));
-        let holds = |id: &&ProxyId| {
-            let bound = self.binds_of(**id);
-            bound.is_empty() || bound.iter().any(|(table, _)| names(table))
-        };
+        let holds =
+            |id: &&ProxyId| !self.is_bound(**id) || self.binds_of(**id).iter().any(|(table, _)| names(table));
         joined.keys().filter(holds).copied().collect()
     }
 
@@ -149,7 +155,7 @@
     ) {
         let classes: Vec<RequestClass> = vec![];
         let (mut state, mut model, mut rules) =
-            (PublishedState::new(ZONES), Model::default(), ReachRules::new(&classes, ZONES));
+            (PublishedState::new(ZONES, ALL_CLASSES), Model::default(), ReachRules::new(&classes, ZONES));
         let (mut joined, mut tables) = (BTreeMap::new(), BTreeSet::new());
         for (step, binds) in steps {
             match step {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -119,8 +119,8 @@
     ) -> Self {
         let mean_latency_target =
             classes.iter().map(|class| class.latency_target).sum::<f64>() / classes.len().max(1) as f64;
-        let (reach_rules, published) =
-            (ReachRules::new(&classes, instance.zone_count), PublishedState::new(instance.zone_count));
+        let reach_rules = ReachRules::new(&classes, instance.zone_count);
+        let published = PublishedState::new(instance.zone_count, reach_rules.all_classes());
         Controller {
             instance, classes, mean_latency_target, proxy_settings, warmup, report_settings, channel,
             list_settings, backlog: ChannelBacklog::default(), stall_detector: StallDetector::default(),
--- a/crates/policy/tests/policy/main.rs
+++ b/crates/policy/tests/policy/main.rs
@@ -1,5 +1,6 @@
 mod fleet;
 mod model;
 mod reach;
+mod rejoins;
 mod stalls;
 mod traces;
