A proxy that comes back is bound in its grace though nothing in its table serves

Cause: only its bind tells a proxy that comes back what was withdrawn before.

Change: when its grace would end, a proxy is bound for each class without a table, also where its table has no usable host, unless a warm host in service is within the table's reach; then it waits for the restore, which is as urgent as a drain. It is left as those that stayed joined are. The same holds for hosts that have left or are cold. Why not another withdrawal: it goes to every proxy that holds the host.

Tests: policy/rejoins.rs; hosts that drain, have left, are cold: each fails before and passes after. A fourth, over 200 sizes of the channel, fails without the condition on warm hosts.

--- a/crates/policy/src/binds.rs
+++ b/crates/policy/src/binds.rs
@@ -3,32 +3,53 @@
 use super::*;
 
 impl Reply<'_> {
-    /// While hosts leave, an unbound proxy may hold them in an earlier table, and its grace runs from its
-    /// joining. This binds, with the urgency of drains, the proxies up to the last one that would be late if
-    /// it waited any longer. Guards against gates and restores, which are sent first to all unbound proxies
-    /// and take the room needed for their binds.
+    /// A proxy holds what it had before it joined until it is bound, and was told of no earlier withdrawal, while its
+    /// grace runs from its joining. While hosts leave, this binds, with the urgency of drains, the proxies up to the
+    /// last one that would be late if it waited any longer. Guards against gates and restores, which are sent first to
+    /// all unbound proxies and take the room needed for their binds.
+    ///
+    /// A proxy is also bound to a table without a usable host, as those that stayed joined are left without one, unless
+    /// a warm host could serve it. Guards against a proxy that goes on sending to hosts that leave, or to cold ones,
+    /// because all hosts of its table are withdrawn. Before a host is known, none is withdrawn.
     pub(crate) fn bind_overdue(&mut self, desired: &DesiredState) {
-        if !self.hosts_leaving || !self.published.has_unbound_proxies(&self.controller.proxies) {
+        let Controller { hosts, proxies, .. } = self.controller;
+        if hosts.is_empty() || !self.published.has_unbound_proxies(proxies) {
             return;
         }
         let unbound = self.unbound_by_priority(desired);
         let overdue = self.count_overdue(&unbound);
         for ((proxy, table), classes) in unbound.into_iter().take(overdue) {
-            if self.published.lacks_usable_host(&table) {
-                continue;
-            }
-            if self.bind_proxy(DRAIN, proxy, table, classes) == Err(Refusal::ChannelFull) {
+            let is_due = if self.published.lacks_usable_host(&table) {
+                !self.has_warm_host_in_reach(&table)
+            } else {
+                self.hosts_leaving
+            };
+            if is_due && self.bind_proxy(DRAIN, proxy, table, classes) == Err(Refusal::ChannelFull) {
                 let cost = self.cost(&[proxy], self.bind_cost(&table));
                 self.reserve_room(DRAIN, cost);
             }
         }
     }
 
-    /// The binds of proxies without a table of this controller: first those that hold no ordered table at
-    /// all, then in the order of joining.
+    /// Whether a warm host is in service that the request classes of the table may use.
+    fn has_warm_host_in_reach(&self, (home, reach, _): &TableKey) -> bool {
+        let Controller { hosts, warmup, .. } = self.controller;
+        let in_reach = hosts.values().filter(|host| reach.contains(*home, host.zone));
+        in_reach
+            .filter(|host| host.standing == Availability::InService)
+            .any(|host| host.is_warm(self.now, warmup))
+    }
+
+    /// The binds of proxies for request classes for which they use no table of this controller: first those of
+    /// proxies that hold no ordered table at all, then in the order of joining.
     fn unbound_by_priority(&self, desired: &DesiredState) -> Vec<Bind> {
-        let mut unbound = self.published.missing_binds(desired);
-        unbound.retain(|((proxy, _), _)| self.published.binds_of(*proxy).next().is_none());
+        let of_unbound_classes = |(key, classes): Bind| {
+            let (proxy, _) = key;
+            let unbound = ClassSet(classes.0 & self.published.unbound_class_bits(proxy));
+            (unbound.0 != 0).then_some((key, unbound))
+        };
+        let missing_binds = self.published.missing_binds(desired).into_iter();
+        let mut unbound: Vec<Bind> = missing_binds.filter_map(of_unbound_classes).collect();
         unbound.sort_by(|((a, _), _), ((b, _), _)| {
             let (a, b) = (&self.controller.proxies[a], &self.controller.proxies[b]);
             b.without_table.cmp(&a.without_table).then(a.joined_at.total_cmp(&b.joined_at))
