Event loop: messages and decisions in short functions, a file for messages

`Desk::handle` was one match of 120 lines, `run` and `hand_out` mixed waits, timers, policy checks and the dispatch of orders. The messages of other tasks are in desk/messages.rs, a function each; `run` names its steps; `hand_out` dispatches order by order and moves orders instead of copying them. desk.rs 542 to 381 lines.

--- a/crates/steward/src/desk.rs
+++ b/crates/steward/src/desk.rs
@@ -10,9 +10,8 @@
 
 use amberarch_core::*;
 use amberarch_facts::Names;
-use amberarch_intake::Believed;
 use amberarch_residency::Judge;
-use slog::{error, info, warn, Logger};
+use slog::{error, warn, Logger};
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, Instant};
 
@@ -21,10 +20,10 @@
 use crate::fleet::PolicyLease;
 use crate::guard::Keeper;
 use crate::heard::{Entry, Heard, Listing, Out};
-use crate::lines::Message;
-use crate::state::{self, HostState};
+use crate::state::HostState;
 
 mod hosts;
+mod messages;
 mod proxies;
 mod replies;
 pub mod withdrawals;
@@ -204,89 +203,83 @@
         }
     }
 
-    /// Records orders that were not carried out, or only maybe.
-    fn gave_up(&mut self, orders: &[Order]) {
-        for order in orders {
-            match order {
-                Order::Withdraw { host, withdrawn: false } if self.hosts.contains_key(host) => {
-                    self.withdrawals.restore_not_carried_out(*host);
-                }
-                _ => {}
-            }
-        }
-        self.with_judge(|judge, _| judge.gave_up(orders));
-        if let Some(guard) = &mut self.guard {
-            guard.gave_up(orders);
-        }
-    }
-
     /// Runs until all senders of messages are gone.
     pub async fn run(mut self, mut heard: mpsc::Receiver<Heard>) {
-        const MOST_AT_ONCE: usize = 1_024;
-        const IDLE: Duration = Duration::from_secs(60);
-        /// A policy change waits until the last controller reports that it is settled, so expired entries are checked for
-        /// this often.
-        const LOOK: Duration = Duration::from_millis(50);
+        const MAX_MESSAGES_AT_ONCE: usize = 1_024;
         loop {
-            let calls = self
-                .policy_lease
-                .as_ref()
-                .is_some_and(|policy_lease| policy_lease.needs_decision(self.unix.now_ms()));
-            // Events left by a start, a restart or a full queue are decided on without waiting for a message.
-            let due = match self.timers.peek() {
-                _ if !self.events.is_empty() || calls => self.resume,
-                _ if self.policy_lease.is_some() => {
-                    let timer = self.timers.peek().map(|Reverse((at, _))| self.resume.max(*at));
-                    timer.unwrap_or(Instant::now() + IDLE).min(Instant::now() + LOOK)
-                }
-                Some(Reverse((at, _))) => self.resume.max(*at),
-                None => Instant::now() + IDLE,
-            };
             tokio::select! {
                 biased;
-                () = sleep_until(due) => {}
-                news = heard.recv() => match news {
-                    Some(news) => self.handle(news),
+                () = sleep_until(self.wakes_at()) => {}
+                message = heard.recv() => match message {
+                    Some(message) => self.handle(message),
                     None => return,
                 },
             }
-            for _ in 0..MOST_AT_ONCE {
+            for _ in 0..MAX_MESSAGES_AT_ONCE {
                 match heard.try_recv() {
-                    Ok(news) => self.handle(news),
+                    Ok(message) => self.handle(message),
                     Err(_) => break,
                 }
             }
-            let now = Instant::now();
-            while let Some(Reverse((at, timer))) = self.timers.peek().copied() {
-                if at > now {
-                    break;
-                }
-                self.timers.pop();
-                self.counters.timers.one();
-                self.events.push(Event::TimerExpired { timer });
-            }
-            let calls = self
-                .policy_lease
-                .as_ref()
-                .is_some_and(|policy_lease| policy_lease.needs_decision(self.unix.now_ms()));
-            if (!self.events.is_empty() || calls) && now >= self.resume {
+            self.expire_timers();
+            if self.is_decision_pending() && Instant::now() >= self.resume {
                 self.decide();
             }
-            let now = self.now();
-            if let Some(policy_lease) = &mut self.policy_lease {
-                policy_lease.settle(now);
-                if policy_lease.mark_due(now) && Instant::now() >= self.resume && !self.joined.is_empty() {
-                    self.ask_proxies();
-                }
-            }
-            if let Some(policy_lease) = &mut self.policy_lease {
-                policy_lease.sees(now, || {
-                    in_service_weights(&self.hosts, self.withdrawals.hosts(), &self.weight_fractions)
-                });
+            self.check_policy();
+        }
+    }
+
+    /// Events wait for a decision, or the policy in force has changed.
+    fn is_decision_pending(&self) -> bool {
+        let has_changed = |policy_lease: &PolicyLease| policy_lease.needs_decision(self.unix.now_ms());
+        !self.events.is_empty() || self.policy_lease.as_ref().is_some_and(has_changed)
+    }
+
+    /// When the event loop goes on if no message arrives. Events left by a start, a restart or a full queue are decided on
+    /// without waiting for a message.
+    fn wakes_at(&self) -> Instant {
+        const IDLE: Duration = Duration::from_secs(60);
+        /// A policy change waits until the last controller reports that it is settled, so expired entries are checked for
+        /// this often.
+        const POLICY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+        if self.is_decision_pending() {
+            return self.resume;
+        }
+        let now = Instant::now();
+        let timer = self.timers.peek().map(|Reverse((at, _))| self.resume.max(*at));
+        let wakes_at = timer.unwrap_or(now + IDLE);
+        if self.policy_lease.is_some() {
+            wakes_at.min(now + POLICY_CHECK_INTERVAL)
+        } else {
+            wakes_at
+        }
+    }
+
+    fn expire_timers(&mut self) {
+        let now = Instant::now();
+        while let Some(Reverse((at, timer))) = self.timers.peek().copied() {
+            if at > now {
+                break;
             }
+            self.timers.pop();
+            self.counters.timers.one();
+            self.events.push(Event::TimerExpired { timer });
         }
     }
 
+    /// Reports whether the policy in force is settled, and asks the proxies what they hold where that is due.
+    fn check_policy(&mut self) {
+        let now = self.now();
+        let Some(policy_lease) = &mut self.policy_lease else { return };
+        policy_lease.settle(now);
+        if policy_lease.mark_due(now) && Instant::now() >= self.resume && !self.joined.is_empty() {
+            self.ask_proxies();
+        }
+        let Some(policy_lease) = &mut self.policy_lease else { return };
+        policy_lease
+            .sees(now, || in_service_weights(&self.hosts, self.withdrawals.hosts(), &self.weight_fractions));
+    }
+
     /// The zero of the controller's clock.
     pub fn start(&self) -> Instant {
         self.start
@@ -296,148 +289,12 @@
         self.start.elapsed().as_secs_f64() * 1e3
     }
 
-    /// Records that the reply with this mark takes, or may take, one more message to each of its proxies.
-    fn duplicate_message(&mut self, mark: MarkId, event: fn(MarkId) -> Event) {
-        self.with_judge(|judge, _| judge.unsure(mark));
-        self.notify_guard(&Event::CallDuplicated { mark });
-        self.events.extend(self.own(mark).map(event));
-    }
-
-    /// Turns a message into events for the controller; unknown names are skipped.
-    fn handle(&mut self, heard: Heard) {
-        match heard {
-            Heard::Report(report) => match self.report_event(report) {
-                Ok(event) => {
-                    self.record_success(&event);
-                    self.record_arrivals(&event);
-                    self.events.push(event);
-                }
-                Err(why) => {
-                    self.counters.lines_skipped.one();
-                    self.skip(why);
-                }
-            },
-            Heard::SnapshotBegins { rebind } => {
-                // A snapshot that the former watch left incomplete keeps its `rebind`.
-                self.rebind = rebind || self.unseen.is_some() && self.rebind;
-                self.unseen = Some(self.joined.keys().copied().collect());
-            }
-            Heard::SnapshotEnds => {
-                let unseen = self.unseen.take().unwrap_or_default();
-                info!(self.log, "the snapshot of the relay's proxies is complete"; "joined" => self.joined.len() - unseen.len(),
-                    "left" => unseen.len(), "bound_anew" => self.rebind);
-                for proxy in unseen {
-                    self.left(proxy);
-                }
-            }
-            Heard::News(news) => self.relay_event(news),
-            Heard::Listed(listing) if self.host_state.is_some() => {
-                let now = self.unix.now_ms();
-                let rows = listing.hosts.iter().map(|row| (row.host.clone(), state::kept(row))).collect();
-                if let Some(host_state) = &mut self.host_state {
-                    host_state.roster.listed(now, listing.seq, listing.whole, rows);
-                }
-                self.emit_trusted(ListUpdate::Changes, true);
-            }
-            Heard::ListUnchanged => {
-                self.list_confirmed_at = self.now();
-                let now = self.unix.now_ms();
-                if let Some(host_state) = &mut self.host_state {
-                    host_state.roster.stands(now);
-                }
-            }
-            Heard::Listed(listing) => {
-                let update = if listing.whole { ListUpdate::Whole } else { ListUpdate::Changes };
-                self.listed(listing, update);
-            }
-            Heard::ListFailed => {
-                self.events.push(Event::List { update: ListUpdate::Failed, entries: vec![] });
-            }
-            Heard::Loads(loads) => {
-                let event = |Believed { host, load, age, sure: confidence, .. }| Event::LoadEstimate {
-                    host,
-                    load,
-                    age,
-                    confidence,
-                };
-                self.events.extend(loads.into_iter().map(event));
-            }
-            Heard::Probed { host, entry, .. } if self.replaced(host, entry) => {
-                let (outcome, load) = (ProbeOutcome::Unknown, LoadReport::default());
-                self.record_probe(host, outcome);
-                self.events.push(Event::ProbeResult { host, outcome, duration: 0.0, load });
-            }
-            Heard::Probed { host, outcome, took: duration, report: load, .. } => {
-                self.record_probe(host, outcome);
-                // A host that is probed on behalf of the membership is not known to the controller yet.
-                if self.host_state.is_some() && !self.hosts.contains_key(&host) {
-                    return;
-                }
-                self.seen(host, self.now());
-                self.events.push(Event::ProbeResult { host, outcome, duration, load });
-            }
-            Heard::RelayDelayed { on } => self.events.push(Event::RelayDelayed { on }),
-            Heard::Together { marks } => self.together(&marks),
-            Heard::CallDuplicated { mark } => {
-                self.duplicate_message(mark, |mark| Event::CallDuplicated { mark })
-            }
-            Heard::CallSplit { mark } => self.duplicate_message(mark, |mark| Event::CallSplit { mark }),
-            Heard::Answered { place } => {
-                self.with_judge(|judge, _| judge.answered(place));
-                let now = self.now();
-                self.guard.iter_mut().for_each(|guard| guard.answered(now, place));
-            }
-            Heard::Holds(holds) => {
-                let unix = self.unix.now_ms();
-                if let Some(policy_lease) = &mut self.policy_lease {
-                    policy_lease.apply(unix, holds);
-                }
-            }
-            Heard::Bound(bound) => {
-                if let Some(policy_lease) = &mut self.policy_lease {
-                    policy_lease.bound(bound);
-                }
-            }
-            Heard::Fenced { incarnation, orders } => {
-                self.gave_up(&orders);
-                if incarnation == self.incarnation {
-                    warn!(self.log, "orders were dropped because their lease or policy stage is no longer in force; \
-                        the decisions start anew"; "orders" => orders.len(), "restores" => count_restores(&orders));
-                    self.start_anew();
-                }
-            }
-            // The proxy is not, or no longer, the one that was bound, so it is bound again. If a message about its
-            // leaving is still in transit, that one takes effect last.
-            Heard::OrdersRefused { binds: Some(proxy), orders } => {
-                self.gave_up(&orders);
-                if let Some(Joined { zone, txns_per_s }) = self.joined.get(&proxy).copied() {
-                    self.events.push(Event::ProxyLeft { proxy });
-                    self.events.push(Event::ProxyJoined { proxy, zone, txns_per_s, without_table: false });
-                }
-            }
-            Heard::OrdersRefused { binds: None, orders } => {
-                self.gave_up(&orders);
-                if let Some(hidden) = self.refused.pass() {
-                    error!(self.log, "the relay refuses an order; the decisions start anew"; "hidden" => hidden);
-                }
-                self.start_anew();
-            }
-        }
-    }
-
     fn skip(&self, what: String) {
         if let Some(hidden) = self.skipped.pass() {
             warn!(self.log, "skipped"; "what" => what, "hidden" => hidden);
         }
     }
 
-    fn record_arrivals(&mut self, event: &Event) {
-        let (now, Event::ProxyReport { proxy, .. }) = (self.now(), event) else { return };
-        if let Some((policy_lease, joined)) = self.policy_lease.as_mut().zip(self.joined.get(proxy)) {
-            policy_lease.record_arrivals(now, joined.zone, event);
-        }
-    }
-
     fn with_judge(&mut self, tell: impl FnOnce(&mut Judge, f64)) {
         let now = self.now();
         if let Some(policy_lease) = &mut self.policy_lease {
@@ -445,27 +302,6 @@
         }
     }
 
-    fn report_event(&self, report: Message) -> Result<Event, String> {
-        match report {
-            Message::Load { zone, host, tries, failed, mean_latency, covered, report: load } => {
-                let zone = place(&self.labels.zones, &zone).ok_or("unknown zone")?;
-                let host = self.names.find(&host).ok_or("unknown host")?;
-                // A report counts as observed in the middle of the time that it covers.
-                self.seen(host, self.now() - covered / 2.0);
-                Ok(Event::HostReport { host, zone: ZoneId(zone), covered, tries, failed, mean_latency, load })
-            }
-            Message::Rate { proxy, class, txns, failed, covered } => {
-                let class = place(&self.labels.products, &class).ok_or("unknown request class")?;
-                if u32::from(proxy) >= self.labels.proxies {
-                    return Err("unknown proxy".into());
-                }
-                let (proxy, class) = (ProxyId(proxy), ClassId(class));
-                Ok(Event::ProxyReport { proxy, class, txns, failed, covered })
-            }
-            Message::Ping | Message::Source { .. } => Err("not a traffic report".into()),
-        }
-    }
-
     fn decide(&mut self) {
         self.maintain_membership();
         let (now, unix) = (self.now(), self.unix.now_ms());
@@ -523,11 +359,6 @@
     }
 }
 
-/// How many of the orders restore a host.
-fn count_restores(orders: &[Order]) -> usize {
-    orders.iter().filter(|order| matches!(order, Order::Withdraw { withdrawn: false, .. })).count()
-}
-
 /// The weight that the hosts of each zone carry that are in service and not withdrawn, in listed weights.
 fn in_service_weights(
     hosts: &BTreeMap<HostId, KnownHost>,
--- a/crates/steward/src/desk/replies.rs
+++ b/crates/steward/src/desk/replies.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use amberarch_core::{Event, HostId, ListUpdate, LoadReport, MarkId, Order, ProbeOutcome};
+use amberarch_core::{Event, HostId, ListUpdate, LoadReport, MarkId, Order, ProbeOutcome, TimerId};
 use slog::{error, info, warn};
 use tokio::time::Instant;
 
@@ -12,67 +12,83 @@
 use crate::heard::{Ask, DecidedUnder, Encoded, Probe, Reply};
 use crate::orders;
 
+/// What is left of a decision once its orders for other tasks are handed out.
+#[derive(Default)]
+struct RelayOrders {
+    orders: Vec<Order>,
+    mark: Option<MarkId>,
+    /// Hosts that the decisions do not know any more once the orders are passed on.
+    forgotten_hosts: Vec<HostId>,
+}
+
 impl Desk {
-    pub(super) fn hand_out(&mut self, mut decided: Vec<Order>) {
-        /// The wire page allows 71 minutes at most.
-        const LONGEST_TIMER: Duration = Duration::from_secs(71 * 60);
-        let (mut calls, mut mark, mut forgotten_hosts) = (Vec::new(), None, Vec::new());
-        for order in &mut decided {
-            if let Order::Mark { mark, .. } = order {
-                mark.0 = mark.0.wrapping_add(self.first_mark);
-            }
-        }
-        for order in &decided {
+    /// Hands out the orders of a decision.
+    pub(super) fn hand_out(&mut self, decided: Vec<Order>) {
+        let mut for_relay = RelayOrders::default();
+        for order in decided {
             self.counters.orders.one();
-            match order {
-                Order::StartTimer { after, timer } => {
-                    let after = Duration::try_from_secs_f64(after / 1e3).unwrap_or_default();
-                    self.timers.push(Reverse((Instant::now() + after.min(LONGEST_TIMER), *timer)));
-                }
-                Order::Probe { host } => self.probe(*host),
-                Order::WatchList { on } => self.ask(if *on { Ask::Watch } else { Ask::Unwatch }),
-                Order::FetchList => self.ask(Ask::Whole),
-                Order::ForgetHost { host } => forgotten_hosts.push(*host),
-                Order::StoreHint { host, latency_factor } => {
-                    if self.policy_lease.is_some() {
-                        self.weight_fractions.insert(*host, *latency_factor);
-                    }
-                    self.learnt(*host, Some(*latency_factor), None);
-                }
-                Order::Log { text } => info!(self.log, "message of the controller"; "text" => text),
-                Order::SendToPeer { .. } => {
-                    warn!(self.log, "messages between controllers are not supported on sockets")
-                }
-                order => {
-                    if let Order::Withdraw { host, withdrawn } = order {
-                        self.learnt(*host, None, Some(*withdrawn));
-                    }
-                    if let Order::Mark { mark: number, .. } = order {
-                        mark = Some(*number);
-                    }
-                    calls.push(order);
-                }
-            }
+            self.dispatch(order, &mut for_relay);
         }
+        let RelayOrders { orders, mark, forgotten_hosts } = for_relay;
         let guard_holds_back = self.guard.as_ref().is_some_and(Keeper::waits);
-        let restores_alone = calls.is_empty() && self.withdrawals.restores_due();
-        let sent = if restores_alone {
+        let sent = if !orders.is_empty() || guard_holds_back {
+            self.call(orders, mark)
+        } else if self.withdrawals.restores_due() {
             self.call_with_own_mark(false)
         } else {
-            calls.is_empty() && !guard_holds_back || self.call(calls, mark)
+            true
         };
-        if !sent {
-            return;
+        if sent {
+            forgotten_hosts.into_iter().for_each(|host| self.forget(host));
         }
-        for host in forgotten_hosts {
-            self.with_judge(|judge, _| judge.forgotten(host));
-            self.names.forget(host);
-            self.hosts.remove(&host);
-            self.withdrawals.forget(host);
-            self.weight_fractions.remove(&host);
+    }
+
+    /// Hands an order to the task that carries it out, or adds it to the orders for the relay.
+    fn dispatch(&mut self, order: Order, for_relay: &mut RelayOrders) {
+        match order {
+            Order::StartTimer { after, timer } => self.start_timer(after, timer),
+            Order::Probe { host } => self.probe(host),
+            Order::WatchList { on } => self.ask(if on { Ask::Watch } else { Ask::Unwatch }),
+            Order::FetchList => self.ask(Ask::Whole),
+            Order::ForgetHost { host } => for_relay.forgotten_hosts.push(host),
+            Order::StoreHint { host, latency_factor } => {
+                if self.policy_lease.is_some() {
+                    self.weight_fractions.insert(host, latency_factor);
+                }
+                self.learnt(host, Some(latency_factor), None);
+            }
+            Order::Log { text } => info!(self.log, "message of the controller"; "text" => text),
+            Order::SendToPeer { .. } => {
+                warn!(self.log, "messages between controllers are not supported on sockets")
+            }
+            Order::Mark { mark, all_proxies } => {
+                let mark = MarkId(mark.0.wrapping_add(self.first_mark));
+                for_relay.mark = Some(mark);
+                for_relay.orders.push(Order::Mark { mark, all_proxies });
+            }
+            Order::Withdraw { host, withdrawn } => {
+                self.learnt(host, None, Some(withdrawn));
+                for_relay.orders.push(order);
+            }
+            order => for_relay.orders.push(order),
         }
     }
 
+    fn start_timer(&mut self, after: f64, timer: TimerId) {
+        /// The wire page allows 71 minutes at most.
+        const LONGEST_TIMER: Duration = Duration::from_secs(71 * 60);
+        let after = Duration::try_from_secs_f64(after / 1e3).unwrap_or_default();
+        self.timers.push(Reverse((Instant::now() + after.min(LONGEST_TIMER), timer)));
+    }
+
+    fn forget(&mut self, host: HostId) {
+        self.with_judge(|judge, _| judge.forgotten(host));
+        self.names.forget(host);
+        self.hosts.remove(&host);
+        self.withdrawals.forget(host);
+        self.weight_fractions.remove(&host);
+    }
+
     /// Orders a mark alone, whose answers show what proxies hold.
     pub(super) fn ask_proxies(&mut self) {
         self.call_with_own_mark(true);
@@ -83,11 +99,11 @@
     fn call_with_own_mark(&mut self, all_proxies: bool) -> bool {
         self.poll_marks = (self.poll_marks + 1) % (MARKS_PER_INCARNATION / 4);
         let mark = MarkId(self.first_mark.wrapping_sub(1 + self.poll_marks));
-        self.call(vec![&Order::Mark { mark, all_proxies }], Some(mark))
+        self.call(vec![Order::Mark { mark, all_proxies }], Some(mark))
     }
 
     /// Checks a reply against the policy and hands it to the relay. False if the controller was restarted because of it.
-    pub(super) fn call(&mut self, calls: Vec<&Order>, mark: Option<MarkId>) -> bool {
+    pub(super) fn call(&mut self, decided: Vec<Order>, mark: Option<MarkId>) -> bool {
         let restores = self.withdrawals.take_restores();
         if !restores.is_empty() {
             info!(self.log, "hosts that former decisions withdrew are restored"; "hosts" => restores.len());
@@ -99,7 +115,7 @@
             _ => vec![],
         };
         let mut orders: Vec<Order> =
-            repairs.into_iter().chain(restores.iter().cloned()).chain(calls.into_iter().cloned()).collect();
+            repairs.into_iter().chain(restores.iter().cloned()).chain(decided).collect();
         let (mut place, mut restart) = (0, false);
         if let Some(guard) = &mut self.guard {
             (orders, place, restart) = guard.pass(now, orders);
