Books: files named for what they hold

`told`, `asked`, `present`, `ring`, `waiting` and `plan` were names of the earlier house style. The files are now named for their types: reach_rules, demand, published_state, sliding_window, channel_backlog, desired_state, table_tree.

--- a/crates/books/src/asked.rs
+++ b/crates/books/src/demand.rs
@@ -4,7 +4,7 @@
 
 use amberarch_core::{ClassId, ProxyId, RequestClass, ZoneId};
 
-use crate::ring::BUCKET_COUNT;
+use crate::sliding_window::BUCKET_COUNT;
 use crate::{Node, Reach, SlidingWindow, TryStats, BUCKET_MS};
 
 /// The longest window that traffic reports are kept for.
--- a/crates/books/src/lib.rs
+++ b/crates/books/src/lib.rs
@@ -6,22 +6,22 @@
 //!
 //! Plain data structures and arithmetic: this crate makes no decisions.
 
-mod asked;
-mod plan;
-mod present;
+mod channel_backlog;
+mod demand;
+mod desired_state;
+mod published_state;
 mod reach;
-mod ring;
-mod told;
-mod tree;
-mod waiting;
+mod reach_rules;
+mod sliding_window;
+mod table_tree;
 
-pub use asked::{rate_cap, ClassDemand, Proxy, ProxyDemand};
-pub use plan::{Bind, DesiredState, EntriesByReach};
-pub use present::PublishedState;
+pub use channel_backlog::ChannelBacklog;
+pub use demand::{rate_cap, ClassDemand, Proxy, ProxyDemand};
+pub use desired_state::{Bind, DesiredState, EntriesByReach};
+pub use published_state::PublishedState;
 pub use reach::{Reach, TableKey};
-pub use ring::{median, SlidingWindow, TryStats, BUCKET_MS};
-pub use told::ReachRules;
-pub use tree::{
+pub use reach_rules::ReachRules;
+pub use sliding_window::{median, SlidingWindow, TryStats, BUCKET_MS};
+pub use table_tree::{
     includes_place, open_weight_by_group, tables_at_level, Node, PlaceAllocator, TableEntry, TableLoads,
 };
-pub use waiting::ChannelBacklog;
