Relay task: the next call and what follows a fault are functions of their own

`Relay::run` was a loop of 100 lines in which calls, refusals, waits and logs stood together. It now names its steps; whether an order was refused once and how often faults are logged belong to the queue that they are about.

--- a/crates/steward/src/relay/mod.rs
+++ b/crates/steward/src/relay/mod.rs
@@ -131,8 +131,6 @@
     /// together with all other orders of the same incarnation of the controller, which is restarted.
     pub async fn run(mut self, mut replies: mpsc::Receiver<Reply>) {
         let mut queue = Queue::default();
-        let mut refused = false;
-        let seldom = Seldom::default();
         while let Some(reply) = self.next_reply(&mut replies).await {
             self.take(&mut queue, reply).await;
             let mut backoff = Backoff::default();
@@ -152,75 +150,91 @@
                 if let Some(blocked_by) = queue.blocked_by {
                     let resolution = self.resolve(&mut backoff).await;
                     self.apply_resolution(&mut queue, blocked_by, resolution, &backoff).await;
-                    continue;
+                } else {
+                    self.send_next_call(&mut queue, &mut backoff).await;
                 }
-                let count = queue.fitting();
-                let together: Vec<MarkId> =
-                    queue.waiting.iter().take(count).filter_map(|order| order.mark).collect();
-                if together.len() > 1 {
-                    drop(self.ties.desk.send(Heard::Together { marks: together }).await);
+            }
+            // Also reached when the waiting orders were given up or dropped.
+            self.behind(&mut queue, false).await;
+        }
+    }
+
+    /// Sends as many waiting orders as fit into a call.
+    async fn send_next_call(&mut self, queue: &mut Queue, backoff: &mut Backoff) {
+        let count = queue.fitting();
+        let together: Vec<MarkId> = queue.waiting.iter().take(count).filter_map(|order| order.mark).collect();
+        if together.len() > 1 {
+            drop(self.ties.desk.send(Heard::Together { marks: together }).await);
+        }
+        self.ties.signs.await_mark(queue.proof(count));
+        match self.call(&queue.waiting, count).await {
+            Ok(()) => {
+                queue.refused_once = false;
+                self.carried_out(queue, count).await;
+            }
+            Err(fault) => {
+                let is_refusal = matches!(fault, CallFault::RefusedAfter(_) | CallFault::Syntax);
+                self.behind(queue, !is_refusal).await;
+                self.log_fault(queue, count, &fault);
+                self.handle_fault(queue, count, fault, backoff).await;
+            }
+        }
+    }
+
+    fn log_fault(&self, queue: &Queue, count: usize, fault: &CallFault) {
+        let Some(hidden) = queue.faults_logged.pass() else { return };
+        let refused = match fault {
+            CallFault::RefusedAfter(taken) => queue.waiting.get(*taken),
+            CallFault::Syntax => queue.waiting.front(),
+            _ => None,
+        };
+        let refused = refused.map(|order| String::from_utf8_lossy(&order.bytes));
+        warn!(self.ties.log, "a call to the relay failed"; "how" => %fault, "orders" => count,
+            "refused" => refused.as_deref(), "hidden" => hidden);
+    }
+
+    /// Gives up what the relay has refused twice, and waits before the next attempt where that is due.
+    async fn handle_fault(
+        &mut self,
+        queue: &mut Queue,
+        count: usize,
+        fault: CallFault,
+        backoff: &mut Backoff,
+    ) {
+        match fault {
+            CallFault::RefusedAfter(taken) => {
+                self.ties.counters.calls_refused.one();
+                queue.taken(taken);
+                // Refused twice, each time as the first order that was left.
+                queue.refused_once = !(queue.refused_once && taken == 0);
+                if !queue.refused_once {
+                    self.give_up(queue.given_up(1)).await;
                 }
-                self.ties.signs.await_mark(queue.proof(count));
-                let fault = match self.call(&queue.waiting, count).await {
-                    Ok(()) => {
-                        refused = false;
-                        self.carried_out(&mut queue, count).await;
-                        continue;
-                    }
-                    Err(fault) => fault,
-                };
-                let refused_it = matches!(fault, CallFault::RefusedAfter(_) | CallFault::Syntax);
-                self.behind(&mut queue, !refused_it).await;
-                if let Some(hidden) = seldom.pass() {
-                    let at = match fault {
-                        CallFault::RefusedAfter(taken) => queue.waiting.get(taken),
-                        CallFault::Syntax => queue.waiting.front(),
-                        _ => None,
-                    };
-                    let at = at.map(|order| String::from_utf8_lossy(&order.bytes));
-                    warn!(self.ties.log, "a call to the relay failed"; "how" => %fault, "orders" => count,
-                        "refused" => at.as_deref(), "hidden" => hidden);
+                if taken > 0 {
+                    self.parted(queue).await;
                 }
-                match fault {
-                    CallFault::RefusedAfter(taken) => {
-                        self.ties.counters.calls_refused.one();
-                        queue.taken(taken);
-                        // Refused twice, each time as the first order that was left.
-                        refused = !(refused && taken == 0);
-                        if !refused {
-                            self.give_up(queue.given_up(1)).await;
-                        }
-                        if taken > 0 {
-                            self.parted(&queue).await;
-                        }
-                    }
-                    CallFault::Syntax => {
-                        self.ties.counters.calls_refused.one();
-                        refused = !refused;
-                        if !refused {
-                            self.give_up(queue.given_up(count)).await;
-                        }
-                        sleep(ANSWER_TIMEOUT).await;
-                    }
-                    CallFault::Busy => {
-                        self.ties.counters.calls_busy.one();
-                        sleep(ANSWER_TIMEOUT).await;
-                    }
-                    CallFault::Transport(
-                        Fault::NotSent(_) | Fault::LocalFailure(_) | Fault::PartlySent(_),
-                    ) => {
-                        self.ties.counters.calls_not_sent.one();
-                        sleep(self.spread.of(ANSWER_TIMEOUT)).await;
-                    }
-                    CallFault::Transport(Fault::Unsure(_) | Fault::AnswerTruncated(_) | Fault::Silent(_)) => {
-                        self.ties.counters.calls_unsure.one();
-                        queue.blocked_by = Some(BlockedBy::Unsure(count));
-                        backoff.failed();
-                    }
+            }
+            CallFault::Syntax => {
+                self.ties.counters.calls_refused.one();
+                queue.refused_once = !queue.refused_once;
+                if !queue.refused_once {
+                    self.give_up(queue.given_up(count)).await;
                 }
+                sleep(ANSWER_TIMEOUT).await;
+            }
+            CallFault::Busy => {
+                self.ties.counters.calls_busy.one();
+                sleep(ANSWER_TIMEOUT).await;
+            }
+            CallFault::Transport(Fault::NotSent(_) | Fault::LocalFailure(_) | Fault::PartlySent(_)) => {
+                self.ties.counters.calls_not_sent.one();
+                sleep(self.spread.of(ANSWER_TIMEOUT)).await;
+            }
+            CallFault::Transport(Fault::Unsure(_) | Fault::AnswerTruncated(_) | Fault::Silent(_)) => {
+                self.ties.counters.calls_unsure.one();
+                queue.blocked_by = Some(BlockedBy::Unsure(count));
+                backoff.failed();
             }
-            // Also reached when the waiting orders were given up or dropped.
-            self.behind(&mut queue, false).await;
         }
     }
 
--- a/crates/steward/src/relay/queue.rs
+++ b/crates/steward/src/relay/queue.rs
@@ -4,6 +4,7 @@
 
 use amberarch_core::MarkId;
 
+use crate::counters::Seldom;
 use crate::heard::Encoded;
 
 /// The most bytes of orders in a call, by the protocol page.
@@ -30,6 +31,9 @@
     partly_taken: bool,
     /// Calls do not reach the relay.
     pub behind: bool,
+    /// The relay has refused the first order that waits, or the first call, once.
+    pub refused_once: bool,
+    pub faults_logged: Seldom,
     /// The last incarnation of the controller of which orders were dropped; the event loop restarts the controller.
     pub dropped_incarnation: Option<u64>,
 }
