A new start of the decisions lets in no host that drains

What callers could see: when the decisions start anew, hosts that drain are let in again ahead of their first orders. Where those withdraw them in the same reply it has no effect; where a withdrawal has to wait for room in the channel, proxies send new work to them meanwhile.

Cause: new decisions know of no withdrawal, so all of them were undone, whatever the list says of the host.

Change: the restore of a host that is not in service waits until it is, or until the decisions withdraw it. No orders of the decisions are needed for it.

Evidence: withdrawals::new_decisions_do_not_restore_a_host_that_drains fails without the condition ("left: {}, right: {HostId(1)}"), with a lease and without.

--- a/crates/steward/src/desk.rs
+++ b/crates/steward/src/desk.rs
@@ -359,6 +359,11 @@
     }
 }
 
+/// Whether the list has the host in service.
+fn is_in_service(hosts: &BTreeMap<HostId, KnownHost>, host: &HostId) -> bool {
+    hosts.get(host).is_some_and(|known| known.listed.availability == Availability::InService)
+}
+
 /// The weight that the hosts of each zone carry that are in service and not withdrawn, in listed weights.
 fn in_service_weights(
     hosts: &BTreeMap<HostId, KnownHost>,
--- a/crates/steward/src/desk/replies.rs
+++ b/crates/steward/src/desk/replies.rs
@@ -7,7 +7,7 @@
 use slog::{error, info, warn};
 use tokio::time::Instant;
 
-use super::{Desk, KnownHost, MARKS_PER_INCARNATION};
+use super::{is_in_service, Desk, KnownHost, MARKS_PER_INCARNATION};
 use crate::guard::Keeper;
 use crate::heard::{Ask, DecidedUnder, Encoded, Probe, Reply};
 use crate::orders;
@@ -33,7 +33,7 @@
         let guard_holds_back = self.guard.as_ref().is_some_and(Keeper::waits);
         let sent = if !orders.is_empty() || guard_holds_back {
             self.call(orders, mark)
-        } else if self.withdrawals.restores_due() {
+        } else if self.withdrawals.restores_due(|host| is_in_service(&self.hosts, host)) {
             self.call_with_own_mark(false)
         } else {
             true
@@ -104,7 +104,7 @@
 
     /// Checks a reply against the policy and hands it to the relay. False if the controller was restarted because of it.
     pub(super) fn call(&mut self, decided: Vec<Order>, mark: Option<MarkId>) -> bool {
-        let restores = self.withdrawals.take_restores();
+        let restores = self.withdrawals.take_restores(|host| is_in_service(&self.hosts, host));
         if !restores.is_empty() {
             info!(self.log, "hosts that former decisions withdrew are restored"; "hosts" => restores.len());
         }
--- a/crates/steward/src/desk/withdrawals.rs
+++ b/crates/steward/src/desk/withdrawals.rs
@@ -44,16 +44,21 @@
         self.to_restore = self.withdrawn.clone();
     }
 
-    /// Whether hosts wait to be restored ahead of the next orders.
-    pub fn restores_due(&self) -> bool {
-        !self.to_restore.is_empty()
+    /// Whether hosts are to be restored ahead of the next orders.
+    pub fn restores_due(&self, in_service: impl Fn(&HostId) -> bool) -> bool {
+        self.to_restore.iter().any(in_service)
     }
 
-    /// The orders that restore these hosts. A host whose order is not passed on still counts as withdrawn, and is restored
-    /// once the decisions start anew.
-    pub fn take_restores(&mut self) -> Vec<Order> {
-        let hosts = std::mem::take(&mut self.to_restore).into_iter();
-        hosts.map(|host| Order::Withdraw { host, withdrawn: false }).collect()
+    /// The orders that restore these hosts. Those that are not in service wait until they are, or until the decisions
+    /// withdraw them: let in ahead of the decisions, a host that drains would get new work until its withdrawal finds room
+    /// in the channel.
+    ///
+    /// A host whose order is not passed on still counts as withdrawn, and is restored once the decisions start anew.
+    pub fn take_restores(&mut self, in_service: impl Fn(&HostId) -> bool) -> Vec<Order> {
+        let (due, waiting) = std::mem::take(&mut self.to_restore).into_iter().partition(in_service);
+        self.to_restore = waiting;
+        let due: BTreeSet<HostId> = due;
+        due.into_iter().map(|host| Order::Withdraw { host, withdrawn: false }).collect()
     }
 
     /// The host left the list for good and is named in no order any more.
--- a/crates/steward/tests/steward/withdrawals.rs
+++ b/crates/steward/tests/steward/withdrawals.rs
@@ -69,6 +69,8 @@
 enum Step {
     /// The decisions withdraw the host, or restore it.
     Order(u32, bool),
+    /// The list has the host draining, or in service again.
+    Drain(u32, bool),
     /// The relay carries out the replies that wait.
     CarryOut,
     /// The lease ends: the replies that wait are dropped, with all that their decisions order later.
@@ -147,6 +149,11 @@
                 let believed = Believed { host: HostId(host), load, age: 0.0, sure: 1.0, waited: 0.0 };
                 self.desk.send(Heard::Loads(vec![believed])).await.expect("the event loop runs");
             }
+            Step::Drain(host, drains) => {
+                let health = if drains { Health::Terminating } else { Health::InService };
+                let listing = Listing { seq: 2, whole: false, hosts: vec![row(host, health)] };
+                self.desk.send(Heard::Listed(listing)).await.expect("the event loop runs");
+            }
             Step::CarryOut => self.carry_out_waiting(),
             Step::Drop => self.drop_waiting(),
             Step::Refuse => self.refuse_first(),
@@ -158,6 +165,19 @@
     }
 }
 
+fn row(host: u32, health: Health) -> Row {
+    Row {
+        host: format!("s-{host}"),
+        dial: "127.0.0.2:3000".into(),
+        site: "a".into(),
+        class: "m1".into(),
+        block: 1,
+        health,
+        share: 1.0,
+        born_ms: 0.0,
+    }
+}
+
 /// Plays the steps, and then lets everything get through for a while. Returns the hosts that are withdrawn at the relay
 /// and those that the decisions in force have withdrawn.
 fn withdrawn_after(steps: &[Step], has_lease: bool, queue: usize) -> (BTreeSet<HostId>, BTreeSet<HostId>) {
@@ -175,17 +195,8 @@
         });
         let (zones, kinds, products) = (vec!["a".into()], vec!["m1".into()], vec!["read".into()]);
         let labels = Labels { zones, kinds, products, proxies: 4 };
-        let row = |host| Row {
-            host: format!("s-{host}"),
-            dial: "127.0.0.2:3000".into(),
-            site: "a".into(),
-            class: "m1".into(),
-            block: 1,
-            health: Health::InService,
-            share: 1.0,
-            born_ms: 0.0,
-        };
-        let known = Listing { seq: 1, whole: true, hosts: (0..HOSTS).map(row).collect() };
+        let hosts = (0..HOSTS).map(|host| row(host, Health::InService)).collect();
+        let known = Listing { seq: 1, whole: true, hosts };
         let (out, ties) = (Out { relay, list, probes, witness: None }, ties(&trace));
         let (counters, log) = (ties.counters.clone(), ties.log.clone());
         let desk = Desk::new((make, 5), labels, known, UnixClock::reading(1e12), out, counters, log);
@@ -280,9 +291,24 @@
     assert_eq!(at_relay, by_decisions);
 }
 
+/// Guards against a host that gets new work while it drains: new decisions know of no withdrawal, and theirs may have to
+/// wait for room in the channel. It is restored once it is in service again.
+#[test]
+fn new_decisions_do_not_restore_a_host_that_drains() {
+    use Step::*;
+    let new_start =
+        [Order(1, true), Order(2, true), CarryOut, Drain(1, true), Order(3, true), Refuse, Report];
+    for has_lease in [true, false] {
+        let (at_relay, _) = withdrawn_after(&new_start, has_lease, 64);
+        assert_eq!(at_relay, [HostId(1)].into(), "with a lease: {has_lease}");
+    }
+    assert_nothing_stays_withdrawn(&[&new_start[..], &[Restart, CarryOut, Drain(1, false)]].concat());
+}
+
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         4 => (0..HOSTS, any::<bool>()).prop_map(|(host, withdrawn)| Step::Order(host, withdrawn)),
+        1 => (0..HOSTS, any::<bool>()).prop_map(|(host, drains)| Step::Drain(host, drains)),
         2 => Just(Step::CarryOut),
         1 => Just(Step::Drop),
         1 => Just(Step::Refuse),
@@ -297,11 +323,13 @@
         failure_persistence: None, cases: 400, rng_seed: RngSeed::Fixed(54), ..ProptestConfig::default()
     })]
     /// Guards against hosts that stay withdrawn after replies that were dropped, refused or lost in a full queue, in any
-    /// order.
+    /// order, once all hosts are in service.
     #[test]
     fn once_replies_get_through_the_relay_withdraws_what_the_decisions_do(
         steps in prop::collection::vec(step(), 1..40), has_lease: bool, queue in 1_usize..6,
     ) {
+        let in_service = (0..HOSTS).map(|host| Step::Drain(host, false));
+        let steps: Vec<Step> = steps.into_iter().chain(in_service).collect();
         let (at_relay, by_decisions) = withdrawn_after(&steps, has_lease, queue);
         prop_assert_eq!(at_relay, by_decisions);
     }
