Log lines and counters for hosts that start, are withdrawn and are restored

The event loop logs starts that the list reports, and the hosts that a reply withdraws (draining, removed, or gated or too cold) and restores (weight, seconds since the start), with a counter each; 16 hosts are named in a line. The decisions log which cold hosts are alone in a table that proxies use, on change and once a second at the most. Order::LogHosts carries host ids, which the front names.

--- a/crates/books/src/published_state.rs
+++ b/crates/books/src/published_state.rs
@@ -300,6 +300,12 @@
         self.tables.get(table)?.get(&host).copied()
     }
 
+    /// The hosts of the table that are not withdrawn.
+    pub fn usable_hosts(&self, table: &TableKey) -> Vec<HostId> {
+        let entries = self.tables.get(table).into_iter().flat_map(BTreeMap::keys);
+        entries.filter(|host| !self.withdrawn.contains(host)).copied().collect()
+    }
+
     /// Every host of the table is withdrawn, or it has none.
     pub fn lacks_usable_host(&self, table: &TableKey) -> bool {
         self.tables.get(table).is_none_or(|entries| entries.keys().all(|host| self.withdrawn.contains(host)))
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -422,6 +422,8 @@
     StartTimer { after: f64, timer: TimerId },
     /// Writes a line to the log.
     Log { text: String },
+    /// Writes a line to the log, with the names of the hosts that it is about.
+    LogHosts { text: String, hosts: Vec<HostId> },
 }
 
 /// The decisions of a controller: all events of one moment go in, all orders for that moment come out.
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -713,7 +713,7 @@
                 }
                 Order::WatchList { .. } | Order::FetchList | Order::ForgetHost { .. } => {}
                 Order::Log { text } if front == 0 => self.day.said.push((self.now, text)),
-                Order::Log { .. } | Order::SendToPeer { .. } => {}
+                Order::Log { .. } | Order::LogHosts { .. } | Order::SendToPeer { .. } => {}
                 order => sent.push(order),
             }
         }
--- a/crates/guard/src/door.rs
+++ b/crates/guard/src/door.rs
@@ -301,6 +301,7 @@
                     | SendToPeer { .. }
                     | StartTimer { .. }
                     | Log { .. }
+                    | LogHosts { .. }
             )
         };
         let (mut out, calls): (Vec<Order>, Vec<Order>) =
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod bind_wait;
 mod binds;
+mod cold_tables;
 mod health;
 mod hear;
 mod levels;
@@ -20,7 +21,10 @@
 mod stall;
 
 pub use parts::{OVERLOAD_RATIO_TO_MEDIAN, OVERLOAD_THRESHOLD};
-use {bind_wait::*, health::*, levels::*, limits::*, parts::*, plan::*, reply::*, seats::*, stall::*};
+use {
+    bind_wait::*, cold_tables::*, health::*, levels::*, limits::*, parts::*, plan::*, reply::*, seats::*,
+    stall::*,
+};
 
 /// The controller: it receives all events and decides on the orders to the proxies.
 pub struct Controller {
@@ -43,6 +47,7 @@
     /// Withdrawals are delayed until the channel has room.
     withdrawals_delayed: bool,
     unbound_monitor: UnboundProxyMonitor,
+    cold_table_monitor: ColdTableMonitor,
     hosts: BTreeMap<HostId, Host>,
     proxies: BTreeMap<ProxyId, Proxy>,
     /// Which zones may serve each request class.
@@ -125,6 +130,7 @@
             instance, classes, mean_latency_target, proxy_settings, warmup, report_settings, channel,
             list_settings, backlog: ChannelBacklog::default(), stall_detector: StallDetector::default(),
             withdrawals_delayed: false, unbound_monitor: UnboundProxyMonitor::default(), report_cover: 0.0,
+            cold_table_monitor: ColdTableMonitor::default(),
             best_goodput: 0.0, gateable_weight: 0.0, list_failures: 0, list_request_at: f64::MIN,
             spillover: BTreeMap::new(), reach_rules, published, first_decision: true, plan_soon: false,
             levels: BTreeMap::new(), kind_factors: BTreeMap::new(), hosts: BTreeMap::new(),
--- a/crates/policy/src/publish.rs
+++ b/crates/policy/src/publish.rs
@@ -29,6 +29,7 @@
         self.log_delayed_withdrawals(delayed_withdrawals, backlog_lines, orders);
         let log = self.unbound_monitor.check(now, &unbound_proxies, backlog_lines);
         orders.extend(log.map(|text| Order::Log { text }));
+        self.log_cold_tables(now, orders);
         let restored = self.hosts.iter_mut().filter(|(id, _)| restored.contains(id));
         restored.for_each(|(_, host)| host.restored_at = now);
         self.hosts.retain(|id, _| !gone.contains(id));
--- a/crates/steward/src/counters.rs
+++ b/crates/steward/src/counters.rs
@@ -35,6 +35,7 @@
     calls messages_again calls_busy calls_refused calls_unsure calls_not_sent calls_proven inquiries orders_skipped
     watches news_lines news_skipped signs joined left applied
     list_asks list_answers list_failures list_skipped list_asks_lost
+    hosts_started hosts_withdrawn hosts_restored
     probes probes_passed probes_failed probes_merged probes_unsent
     reloads reloads_failed
     declined_unknown breaches fenced_calls fenced_orders
--- a/crates/steward/src/desk.rs
+++ b/crates/steward/src/desk.rs
@@ -26,8 +26,10 @@
 mod messages;
 mod proxies;
 mod replies;
+mod transitions;
 pub mod withdrawals;
 
+use transitions::EntryWeights;
 use withdrawals::Withdrawals;
 
 /// The names that the line protocol and host lists use, in the order of the settings.
@@ -89,6 +91,8 @@
     resume: Instant,
     /// Hosts that may be withdrawn at the relay.
     withdrawals: Withdrawals,
+    /// The weight that each host was given last.
+    entry_weights: EntryWeights,
     /// When the list was last received or confirmed, on the controller's clock, ms.
     list_confirmed_at: f64,
     /// Unix time, independent of steps of the system clock.
@@ -144,6 +148,7 @@
             start: Instant::now(),
             resume: Instant::now(),
             withdrawals: Withdrawals::default(),
+            entry_weights: EntryWeights::default(),
             list_confirmed_at: 0.0,
             unix,
             events: Vec::new(),
--- a/crates/steward/src/desk/hosts.rs
+++ b/crates/steward/src/desk/hosts.rs
@@ -41,7 +41,7 @@
         if listing.whole {
             self.hosts.values_mut().for_each(|known| known.listed.availability = Availability::Removed);
         }
-        let mut entries = Vec::with_capacity(listing.hosts.len());
+        let (mut entries, mut started) = (Vec::with_capacity(listing.hosts.len()), Vec::new());
         for row in &listing.hosts {
             let Some(entry) = self.entry(row) else {
                 self.counters.list_skipped.one();
@@ -55,6 +55,9 @@
                 continue;
             };
             let (born_ms, dial) = (row.born_ms, row.dial.parse().ok());
+            let has_started =
+                born_ms > 0.0 && self.hosts.get(&entry.host).map(|known| known.born_ms) != Some(born_ms);
+            started.extend(has_started.then(|| entry.clone()));
             let known = KnownHost { listed: entry.clone(), born_ms, dial, lost: false };
             self.hosts.insert(entry.host, known);
             entries.push(entry);
@@ -64,6 +67,7 @@
         let leaving = entries.iter().filter(|entry| entry.availability != Availability::InService).count();
         info!(self.log, "the list"; "seq" => listing.seq, "how" => ?update, "entries" => entries.len(),
             "leaving" => leaving);
+        self.log_starts(&started);
         let list = Event::List { update, entries };
         self.notify_guard(&list);
         self.events.push(list);
--- a/crates/steward/src/desk/replies.rs
+++ b/crates/steward/src/desk/replies.rs
@@ -58,6 +58,10 @@
                 self.learnt(host, Some(latency_factor), None);
             }
             Order::Log { text } => info!(self.log, "message of the controller"; "text" => text),
+            Order::LogHosts { text, hosts } => {
+                let hosts = self.named(&hosts, |_, _| String::new());
+                info!(self.log, "message of the controller"; "text" => text, "hosts" => hosts);
+            }
             Order::SendToPeer { .. } => {
                 warn!(self.log, "messages between controllers are not supported on sockets")
             }
@@ -87,6 +91,7 @@
         self.hosts.remove(&host);
         self.withdrawals.forget(host);
         self.weight_fractions.remove(&host);
+        self.entry_weights.forget(host);
     }
 
     /// Orders a mark alone, whose answers show what proxies hold.
@@ -193,7 +198,8 @@
             self.start_anew();
             return false;
         }
-        sent.into_iter().for_each(|order| self.withdrawals.passed_on(order));
+        sent.iter().for_each(|order| self.withdrawals.passed_on(order));
+        self.log_withdrawals(&sent);
         true
     }
 
--- a/crates/wirehost/src/orders.rs
+++ b/crates/wirehost/src/orders.rs
@@ -54,6 +54,10 @@
             writeln!(out, "DEFER {who} {ns} {}", timer.0)
         }
         Order::Log { text } => writeln!(out, "REMARK {who} {}", text.replace('\n', " ")),
+        Order::LogHosts { text, hosts } => {
+            let hosts: Vec<&str> = hosts.iter().filter_map(|host| names.name(*host)).collect();
+            writeln!(out, "REMARK {who} {}: {}", text.replace('\n', " "), hosts.join(" "))
+        }
     };
     written.expect("writing to a string does not fail");
 }
