--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -18,6 +18,7 @@
 pub use arrivals::{Arrivals, Spoilt, Trial};
 pub use discovery::Asked;
 pub use governed::{Care, Ruled};
+pub use host::{Host, Offer};
 pub use proxy::Proxy;
 pub use relay::{Message, Over, Relay};
 pub use rules::{Breach, Rule};
--- a/crates/histories/src/event.rs
+++ b/crates/histories/src/event.rs
@@ -127,6 +127,21 @@
     MaySend {
         hosts: Vec<String>,
     },
+    /// The proxy `who` sends a txn with this much work to a cold host. `ordered_at` is when the last message that the
+    /// proxy applied was sent.
+    Offered {
+        host: String,
+        work_ms: f64,
+        ordered_at: Option<u64>,
+    },
+    /// The process of the host `who` starts. Once it is warm, it does so many ms of work per ms.
+    HostStarted {
+        capacity: f64,
+    },
+    /// The controller `who` counts as notified of the latest start of the host.
+    StartTold {
+        host: String,
+    },
     /// The process of the controller `who` is started.
     Started,
     /// The controller answers a health check for the first time since its start and is used from now on.
--- a/crates/histories/src/lib.rs
+++ b/crates/histories/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod after_end;
 mod answers;
+mod cold_load;
 mod drains;
 mod event;
 mod everywhere;
@@ -37,6 +38,7 @@
 
 pub use after_end::CallsAfterEnd;
 pub use answers::Answers;
+pub use cold_load::{ColdLoad, ColdLoadBounds};
 pub use drains::{DrainBounds, Drains};
 pub use event::*;
 pub use everywhere::Everywhere;
--- a/crates/histories/src/report.rs
+++ b/crates/histories/src/report.rs
@@ -35,6 +35,8 @@
     Drains,
     /// No proxy is without a usable host for too long while its controller lists one as ready.
     NoHost,
+    /// No cold host is sent more than it survives.
+    ColdLoad,
     /// A restarted controller is ready in time.
     Ready,
     /// A controller's relay receives no call after the controller's end.
@@ -45,8 +47,8 @@
 }
 
 impl Rule {
-    /// The rules that [`Judge`] checks. [`crate::Drains`], [`crate::NoHost`], [`crate::Readiness`] and
-    /// [`crate::CallsAfterEnd`] are separate checks with their own bounds.
+    /// The rules that [`Judge`] checks. [`crate::Drains`], [`crate::NoHost`], [`crate::ColdLoad`], [`crate::Readiness`]
+    /// and [`crate::CallsAfterEnd`] are separate checks with their own bounds.
     pub const ALL: [Rule; 9] = [
         Rule::Register,
         Rule::Exclude,
@@ -71,6 +73,7 @@
             Rule::Answers => "answers",
             Rule::Drains => "drains",
             Rule::NoHost => "no host",
+            Rule::ColdLoad => "cold load",
             Rule::Ready => "ready",
             Rule::AfterEnd => "after the end",
             Rule::Late => "late calls",
@@ -286,7 +289,7 @@
     }
 }
 
-const KINDS: [&str; 25] = [
+const KINDS: [&str; 28] = [
     "revision",
     "proposed",
     "answered",
@@ -312,6 +315,9 @@
     "started",
     "ready",
     "called",
+    "offered",
+    "host_started",
+    "start_told",
 ];
 
 /// The index in `KINDS` and the name.
@@ -342,6 +348,9 @@
         What::Started => 22,
         What::Ready => 23,
         What::Called => 24,
+        What::Offered { .. } => 25,
+        What::HostStarted { .. } => 26,
+        What::StartTold { .. } => 27,
     };
     (place, KINDS[place])
 }
--- a/crates/histories/tests/cases/main.rs
+++ b/crates/histories/tests/cases/main.rs
@@ -1,5 +1,6 @@
 //! Checks of generated histories and of hand-written ones.
 
+mod cold_load;
 mod drains;
 mod good;
 mod hand;
--- a/crates/rig/src/drill/collector.rs
+++ b/crates/rig/src/drill/collector.rs
@@ -9,7 +9,7 @@
 use tokio::time::{interval, sleep, timeout, Instant};
 
 use super::settings::Settings;
-use super::traffic::{HostReport, ProxyReport, Traffic};
+use super::traffic::{HostReport, ProxyReport, ReportSource};
 use crate::Fault;
 
 const READY_WITHIN: Duration = Duration::from_secs(30);
@@ -43,7 +43,7 @@
 
 /// Sends the traffic reports of each period, without end. Reports above the limit are queued and sent with those of the
 /// next period.
-pub async fn report(at: SocketAddr, settings: Settings, mut traffic: Traffic) {
+pub async fn report(at: SocketAddr, settings: Settings, mut traffic: ReportSource) {
     let mut every = interval(REPORT_EVERY);
     every.tick().await;
     let mut waiting = VecDeque::new();
--- a/crates/rig/src/drill/discovery.rs
+++ b/crates/rig/src/drill/discovery.rs
@@ -27,14 +27,22 @@
 
 pub struct Discovery {
     hosts: Vec<Rc<Host>>,
-    /// For each changed host, the version of its last change and its state.
-    states: RefCell<BTreeMap<usize, (u64, HostState)>>,
+    /// The last change of each changed host.
+    states: RefCell<BTreeMap<usize, Listed>>,
     version: watch::Sender<u64>,
     door: RefCell<Option<Endpoint>>,
     held: watch::Sender<bool>,
     recorder: Recorder,
 }
 
+/// A host as it is listed since its last change.
+#[derive(Clone, Copy)]
+struct Listed {
+    version: u64,
+    state: HostState,
+    born_ms: u64,
+}
+
 impl Discovery {
     /// # Errors
     /// Fails if it can't listen on its address.
@@ -79,7 +87,17 @@
     pub fn record_initial_list(&self) {
         for host in &self.hosts {
             let (host, state) = (host.name.clone(), HostState::Ready);
-            self.recorder.write(CONTROLLER, What::ListTold { host, state });
+            self.recorder.write(CONTROLLER, What::ListTold { host: host.clone(), state });
+            self.record_start(&host, |one| one.born_ms.get());
+        }
+    }
+
+    /// Records that the controller is notified of the latest start of a host, if that is the listed one.
+    fn record_start(&self, name: &str, listed_ms: impl Fn(&Host) -> u64) {
+        let Some(host) = self.hosts.iter().find(|host| host.name == name) else { return };
+        let born_ms = host.born_ms.get();
+        if born_ms > 0 && listed_ms(host) == born_ms {
+            self.recorder.write(CONTROLLER, What::StartTold { host: name.into() });
         }
     }
 
@@ -97,24 +115,30 @@
         }
         let _ = self.held.subscribe().wait_for(|held| !held).await;
         let states = self.states.borrow();
-        let changed = |number: &usize| states.get(number).map_or(0, |state| state.0) > after.unwrap_or(0);
+        let changed =
+            |number: &usize| states.get(number).map_or(0, |listed| listed.version) > after.unwrap_or(0);
         let listed = |number: &usize| match after {
             Some(_) => changed(number),
-            None => states.get(number).is_none_or(|state| state.1 != HostState::Gone),
+            None => states.get(number).is_none_or(|listed| listed.state != HostState::Gone),
         };
         let numbers: Vec<usize> = (0..self.hosts.len()).filter(listed).collect();
         let rows: Vec<Value> = numbers.iter().map(|number| self.row(*number, &states)).collect();
         for number in &numbers {
-            let state = states.get(number).map_or(HostState::Ready, |state| state.1);
+            let (state, born_ms) =
+                states.get(number).map_or((HostState::Ready, 0), |listed| (listed.state, listed.born_ms));
             let host = self.hosts[*number].name.clone();
-            self.recorder.write(CONTROLLER, What::ListTold { host, state });
+            self.recorder.write(CONTROLLER, What::ListTold { host: host.clone(), state });
+            if state == HostState::Ready {
+                self.record_start(&host, |_| born_ms);
+            }
         }
         json!({"seq": *self.version.borrow(), "whole": after.is_none(), "hosts": rows})
     }
 
-    fn row(&self, number: usize, states: &BTreeMap<usize, (u64, HostState)>) -> Value {
+    fn row(&self, number: usize, states: &BTreeMap<usize, Listed>) -> Value {
         let mut row = self.hosts[number].row();
-        row["health"] = json!(match states.get(&number).map(|state| state.1) {
+        row["born_ms"] = json!(states.get(&number).map_or(0, |listed| listed.born_ms));
+        row["health"] = json!(match states.get(&number).map(|listed| listed.state) {
             None | Some(HostState::Ready) => "in_service",
             Some(HostState::Draining) => "terminating",
             Some(HostState::Gone) => "terminated",
@@ -138,7 +162,11 @@
             sleep_until(start + Duration::from_millis(at)).await;
             let version = *self.version.borrow() + 1;
             for (number, state) in hosts {
-                self.states.borrow_mut().insert(number, (version, state));
+                let before_ms = self.states.borrow().get(&number).map_or(0, |listed| listed.born_ms);
+                // A host that leaves is listed with the start that it was listed with before.
+                let is_ready = state == HostState::Ready;
+                let born_ms = if is_ready { self.hosts[number].born_ms.get() } else { before_ms };
+                self.states.borrow_mut().insert(number, Listed { version, state, born_ms });
             }
             self.version.send_replace(version);
         }
--- a/crates/rig/src/drill/drawn.rs
+++ b/crates/rig/src/drill/drawn.rs
@@ -35,6 +35,8 @@
             changes,
             silences,
             unreachable,
+            host_restarts: vec![],
+            requests: None,
             lost_marks,
             moves,
             failed_calls,
--- a/crates/rig/src/drill/mod.rs
+++ b/crates/rig/src/drill/mod.rs
@@ -9,11 +9,14 @@
 mod discovery;
 mod door;
 mod drawn;
+mod host_restarts;
 mod http;
 mod lag;
 mod lifecycle;
 mod proxies;
 mod relay;
+mod requests;
+mod rolling;
 mod settings;
 mod soak;
 mod trace;
@@ -40,15 +43,18 @@
 
 pub use crowd::{Crowd, CrowdKind};
 use discovery::Discovery;
+use host_restarts::HostRestarts;
 use lag::{Lag, LAG_MOST};
 pub use lifecycle::{Action, Scheduled};
 use lifecycle::{Environment, Operator};
 use proxies::Proxies;
 use relay::Relay;
+use requests::Requests;
+pub use requests::{Pick, RequestLoad, Served};
 use settings::Addresses;
 pub use settings::Settings;
 use trace::Trace;
-use traffic::Traffic;
+use traffic::{ReportSource, Traffic};
 pub use verdicts::Verdicts;
 
 /// Upper bound for a process start on a loaded machine.
@@ -141,6 +147,15 @@
     pub hosts: Vec<usize>,
 }
 
+/// A restart of host processes: connections to them are reset in between.
+#[derive(Clone, Debug)]
+pub struct HostRestart {
+    /// When the processes end, in ms since the start of the drill; `up` is when they start again.
+    pub down: u64,
+    pub up: u64,
+    pub hosts: Vec<usize>,
+}
+
 /// A period in which the relay watch reports no acknowledged marks.
 #[derive(Clone, Copy, Debug)]
 pub struct LostMarks {
@@ -167,6 +182,9 @@
     pub changes: Vec<ListChange>,
     pub silences: Vec<Silence>,
     pub unreachable: Vec<Unreachable>,
+    pub host_restarts: Vec<HostRestart>,
+    /// The requests, if they are drawn one by one; otherwise reports show means.
+    pub requests: Option<RequestLoad>,
     pub lost_marks: Vec<LostMarks>,
     pub moves: Vec<Move>,
     pub failed_calls: Vec<FailedCalls>,
@@ -187,6 +205,8 @@
             changes,
             silences: vec![],
             unreachable: vec![],
+            host_restarts: vec![],
+            requests: None,
             lost_marks: vec![],
             moves: vec![],
             failed_calls: vec![],
@@ -213,6 +233,8 @@
     pub passed: Vec<String>,
     /// Number of orders that the relay accepted.
     pub orders: u64,
+    /// The requests, if they were drawn one by one.
+    pub served: Served,
     pub log: String,
     /// One description per call: its time, how the relay handled it, the lines queued then, and its orders by kind.
     pub calls: Vec<String>,
@@ -294,7 +316,17 @@
     let start = Instant::now();
     let lag = Lag::start();
     relay.join_all(start);
-    let traffic = Traffic::new(settings, &environment.hosts, relay.proxies());
+    let requests =
+        plan.requests.map(|load| Requests::new(settings, load, relay.proxies(), recorder.clone(), start));
+    let traffic = match &requests {
+        Some(requests) => {
+            spawn_local(requests.clone().run());
+            ReportSource::Requests(requests.clone())
+        }
+        None => ReportSource::Means(Box::new(Traffic::new(settings, &environment.hosts, relay.proxies()))),
+    };
+    let restarts = HostRestarts::new(&environment, reachable.clone(), requests.clone());
+    spawn_local(restarts.run(start, plan.host_restarts.clone()));
     spawn_local(collector::report(block.listens(0), settings.clone(), traffic));
     spawn_local(relay.clone().fail(start, plan.silences.clone()));
     for span in &plan.unreachable {
@@ -336,6 +368,7 @@
         backlog,
         passed,
         orders,
+        served: requests.map_or(Served::default(), |requests| requests.served()),
         log,
         calls,
         lag,
--- a/crates/rig/src/drill/proxies.rs
+++ b/crates/rig/src/drill/proxies.rs
@@ -29,6 +29,8 @@
     joined: bool,
     /// The hosts it may send to, as last recorded.
     sends_to: BTreeSet<HostId>,
+    /// When the last message that it applied was sent, ns.
+    ordered_at: Option<u64>,
 }
 
 impl Proxies {
@@ -44,14 +46,17 @@
             let mut proxy = bootstrap_proxy(zone, &near);
             // The bootstrap table does not come from the controller.
             proxy.follow_next();
-            Held { proxy, zone, standing: near, joined: false, sends_to: BTreeSet::new() }
+            Held { proxy, zone, standing: near, joined: false, sends_to: BTreeSet::new(), ordered_at: None }
         });
         let hosts = hosts.iter().map(|host| host.name.clone()).collect();
         Rc::new(Proxies { hosts, held: RefCell::new(held.collect()), recorder })
     }
 
     pub fn join(&self, number: ProxyId) {
-        self.held.borrow_mut()[usize::from(number.0)].joined = true;
+        {
+            let held = &mut self.held.borrow_mut()[usize::from(number.0)];
+            (held.joined, held.ordered_at) = (true, None);
+        }
         self.recorder.write(&name(number), What::Joined { controller: CONTROLLER.into() });
         self.record_targets(number);
     }
@@ -70,14 +75,15 @@
         held.proxy.follow_next();
     }
 
-    /// Applies a message. Returns false if the proxy no longer follows the controller.
-    pub fn apply(&self, number: ProxyId, orders: &[Order]) -> bool {
+    /// Applies a message that was sent at `sent_ns`. Returns false if the proxy no longer follows the controller.
+    pub fn apply(&self, number: ProxyId, orders: &[Order], sent_ns: u64) -> bool {
         {
             let held = &mut self.held.borrow_mut()[usize::from(number.0)];
             if !held.joined {
                 return false;
             }
             orders.iter().for_each(|order| held.proxy.hear(number, order));
+            held.ordered_at = Some(sent_ns);
         }
         self.record_targets(number);
         true
@@ -91,6 +97,16 @@
         lines.into_iter().map(|(host, weight)| (host, weight / all)).collect()
     }
 
+    /// The hosts that a proxy may send requests of the class to, with their weights.
+    pub fn usable_hosts(&self, number: ProxyId, class: ClassId) -> Vec<(HostId, f64)> {
+        self.held.borrow()[usize::from(number.0)].proxy.open(class).collect()
+    }
+
+    /// When the last message was sent that the proxy applied since it joined, ns.
+    pub fn ordered_at(&self, number: ProxyId) -> Option<u64> {
+        self.held.borrow()[usize::from(number.0)].ordered_at
+    }
+
     fn record_targets(&self, number: ProxyId) {
         let held = &mut self.held.borrow_mut()[usize::from(number.0)];
         let classes = (0..CLASSES.len() as u16).map(ClassId);
--- a/crates/rig/src/drill/relay.rs
+++ b/crates/rig/src/drill/relay.rs
@@ -54,6 +54,15 @@
     epoch: u32,
 }
 
+/// A message on its way to a proxy.
+struct InFlight {
+    /// The number of the proxy's stream that it was sent on. A message for an earlier stream is lost.
+    stream: u32,
+    message: Message,
+    /// When the call that caused it was carried out.
+    sent_ns: u64,
+}
+
 pub struct Relay {
     settings: Settings,
     hosts: Vec<String>,
@@ -62,9 +71,7 @@
     link: watch::Sender<Link>,
     readers: RefCell<Vec<mpsc::UnboundedSender<String>>>,
     joined: RefCell<Vec<ProxyId>>,
-    /// Messages in flight, each with the number of the proxy's stream it was sent on. A message for an earlier stream is
-    /// lost.
-    in_flight: RefCell<VecDeque<(u32, Message)>>,
+    in_flight: RefCell<VecDeque<InFlight>>,
     streams: RefCell<BTreeMap<ProxyId, u32>>,
     sent: Notify,
     start: Cell<Instant>,
@@ -412,7 +419,9 @@
         let (messages, passed) = self.channel.borrow_mut().write(self.now(), &orders);
         let now = self.now();
         self.passed.borrow_mut().extend(passed.iter().map(|over| format!("{now:.0} ms: {over:?}")));
-        let messages = messages.into_iter().map(|message| (self.stream(message.proxy), message));
+        let sent_ns = now_ns();
+        let in_flight = |message: Message| InFlight { stream: self.stream(message.proxy), message, sent_ns };
+        let messages = messages.into_iter().map(in_flight);
         self.in_flight.borrow_mut().extend(messages);
         self.sent.notify_one();
         json!({"taken": orders.len()})
@@ -422,14 +431,14 @@
     async fn deliver(self: Rc<Relay>) {
         loop {
             let next = self.in_flight.borrow_mut().pop_front();
-            let Some((stream, message)) = next else {
+            let Some(InFlight { stream, message, sent_ns }) = next else {
                 self.sent.notified().await;
                 continue;
             };
             let due = self.start.get() + Duration::from_secs_f64(message.at / 1e3);
             sleep_until(due).await;
             let Message { proxy, ref orders, .. } = message;
-            if stream != self.stream(proxy) || !self.proxies.apply(proxy, orders) {
+            if stream != self.stream(proxy) || !self.proxies.apply(proxy, orders, sent_ns) {
                 self.trace.borrow_mut().record(self.now(), Some(proxy), Step::Undelivered);
                 continue;
             }
--- a/crates/rig/src/drill/settings.rs
+++ b/crates/rig/src/drill/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use amberarch_core::Channel;
+use amberarch_core::{Channel, Warmup};
 use serde_json::{json, Value};
 
 use crate::address::Block;
@@ -13,6 +13,9 @@
 pub const SLACK: f64 = 300.0;
 /// How long a proxy may be without a host, ms.
 pub const EMPTY_FOR: f64 = 6_800.0;
+/// How hosts warm up, and what a cold one survives.
+pub const WARMUP: Warmup =
+    Warmup { initial_capacity: 0.17, duration: 17_000.0, failure_load: 4.0, failure_after: 2_000.0 };
 
 /// The pair of addresses of discovery and the relay; a reload moves both.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -137,8 +140,9 @@
             "loadInfo": {"how": "off", "columns": []},
             "policyLimits": {"connectTimeout": ns(250.0), "mayProbe": true},
             "rules": {
-                "askWithin": ns(10_000.0), "drainGrace": ns(self.drain_grace), "coldFrom": 0.17,
-                "warmWithin": ns(17_000.0), "fallMultiple": 4.0, "overloadFor": ns(2_000.0),
+                "askWithin": ns(10_000.0), "drainGrace": ns(self.drain_grace), "coldFrom": WARMUP.initial_capacity,
+                "warmWithin": ns(WARMUP.duration), "fallMultiple": WARMUP.failure_load,
+                "overloadFor": ns(WARMUP.failure_after),
             },
         })
     }
--- a/crates/rig/src/drill/traffic.rs
+++ b/crates/rig/src/drill/traffic.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::proxies::Proxies;
+use super::requests::Requests;
 use super::settings::{Settings, CLASSES};
 use crate::hosts::Host;
 
@@ -37,6 +38,22 @@
     pub tries: u32,
 }
 
+/// Where the traffic reports come from.
+pub enum ReportSource {
+    Means(Box<Traffic>),
+    Requests(Rc<Requests>),
+}
+
+impl ReportSource {
+    /// The reports for a period of `seconds` that ends now.
+    pub fn reports(&mut self, seconds: f64) -> (Vec<HostReport>, Vec<ProxyReport>) {
+        match self {
+            ReportSource::Means(traffic) => traffic.reports(seconds),
+            ReportSource::Requests(requests) => requests.reports(),
+        }
+    }
+}
+
 pub struct Traffic {
     settings: Settings,
     hosts: Vec<Rc<Host>>,
--- a/crates/rig/src/hosts.rs
+++ b/crates/rig/src/hosts.rs
@@ -19,6 +19,8 @@
     pub zone: String,
     /// The host rejects every request, which proves that the request did not run.
     pub down: Cell<bool>,
+    /// When its process last started, Unix time in ms; 0: long ago.
+    pub born_ms: Cell<u64>,
     dial: std::net::SocketAddr,
 }
 
@@ -32,8 +34,13 @@
         up: watch::Receiver<bool>,
     ) -> Result<Rc<Host>, Fault> {
         let dial = block.host(number);
-        let host =
-            Rc::new(Host { name: format!("h{number}"), zone: zone.into(), down: Cell::new(false), dial });
+        let host = Rc::new(Host {
+            name: format!("h{number}"),
+            zone: zone.into(),
+            down: Cell::new(false),
+            born_ms: Cell::new(0),
+            dial,
+        });
         let probed = host.clone();
         serve(dial, up, move |_| {
             let mut answer = full(&json!({"inflight": 1, "queue": 0, "util": 0.2}));
@@ -56,7 +63,7 @@
 
     pub fn row(&self) -> Value {
         json!({"host": self.name, "dial": self.dial.to_string(), "site": self.zone, "class": "plain", "block": 0,
-            "health": "in_service", "share": 1.0, "born_ms": 0})
+            "health": "in_service", "share": 1.0, "born_ms": self.born_ms.get()})
     }
 }
 
--- a/crates/steward/tests/drains/main.rs
+++ b/crates/steward/tests/drains/main.rs
@@ -1,6 +1,7 @@
 //! Drains are carried out in time while the relay fails and the list changes. Runs the amberarch binary
 //! beside stand-ins on loopback in real time, and checks the recorded history (`amberarch_rig::drill`).
 
+mod cold_hosts;
 mod drawn;
 #[path = "../drill/mod.rs"]
 mod drill;
