A fleet whose tries all fail, or that sends no reports, stays overloaded

Cause: the median of no reports was taken as "all tries fail" and excluded by a range below 1.0, so the verdict fell when reports were late, and also when all tries really failed.

Change: the verdict counts a failed fraction of 1.0, and stands until reports say otherwise. A log line tells when it changes.

Evidence: both new tests fail before (host restored at 3.6 s for 9.8 s) and pass now. Suites of policy (76), emulator and worlds pass.

--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -89,6 +89,16 @@
         host.probed_at = if probe_soon { now + TICK_MS - PROBE_PERIOD_MS } else { host.probed_at };
     }
 
+    fn overload_message(&self, median_latency: f64) -> Order {
+        let state =
+            if self.overloaded { "the fleet is overloaded" } else { "the fleet is not overloaded any more" };
+        let failed = 100.0 * self.median_failed_fraction;
+        let text = format!(
+            "{state}: at the median host {failed:.0} % of tries fail and the others take {median_latency:.0} ms"
+        );
+        Order::Log { text }
+    }
+
     /// Evaluates the reports of all hosts: closes and opens gates, adjusts latency factors and orders probes.
     pub(crate) fn assess_hosts(&mut self, now: f64, orders: &mut Vec<Order>) {
         // Where a period has more report lines than are accepted per second, each report waits its turn and
@@ -103,8 +113,10 @@
         let listed_hosts = || self.hosts.values().filter(|host| host.standing == Availability::InService);
         let with_traffic =
             listed_hosts().map(|host| host.traffic(now, window)).filter(|traffic| traffic.tries >= 3.0);
-        self.median_failed_fraction =
-            1.0 - median(with_traffic.map(|traffic| 1.0 - traffic.failed_fraction()).collect());
+        let succeeded_fractions: Vec<f64> =
+            with_traffic.map(|traffic| 1.0 - traffic.failed_fraction()).collect();
+        let has_traffic = !succeeded_fractions.is_empty();
+        self.median_failed_fraction = 1.0 - median(succeeded_fractions);
         let with_successes = listed_hosts()
             .map(|host| host.traffic(now, long_window))
             .filter(|traffic| traffic.succeeded() >= 6.0);
@@ -114,8 +126,14 @@
         let few_connections = self.median_failed_fraction > 0.2
             && median_latency > 0.0
             && median_latency < 0.5 * latency_target;
-        self.overloaded =
-            (0.25..1.0).contains(&self.median_failed_fraction) || median_latency > 0.6 * latency_target;
+        // Missing reports say nothing: the last verdict stands.
+        let was_overloaded = self.overloaded;
+        if has_traffic {
+            self.overloaded = self.median_failed_fraction >= 0.25 || median_latency > 0.6 * latency_target;
+        }
+        if self.overloaded != was_overloaded {
+            orders.push(self.overload_message(median_latency));
+        }
         self.hold_tables_until = if few_connections { now + 10_000.0 } else { self.hold_tables_until };
         // The remaining hosts must carry the load of the gated ones: at most a third of the fleet may be
         // gated, not counting hosts that left the list.
--- a/crates/policy/tests/policy/traces.rs
+++ b/crates/policy/tests/policy/traces.rs
@@ -635,6 +635,38 @@
     .assert_eq(&fleet.trace);
 }
 
+/// The times at which the host is restored while each report of the others says that so many of 20 tries failed. The last
+/// `silent_s` seconds bring no report.
+fn restores_of_cold_host(failed: u32, reported_s: u32, silent_s: u32) -> Vec<String> {
+    let mut fleet = Fleet::new(1, 4);
+    fleet.join(0);
+    fleet.list_host(1, Availability::InService, Some(fleet.now));
+    fleet.trace.clear();
+    for _ in 0..reported_s {
+        (0..4).filter(|host| *host != 1).for_each(|host| fleet.host_report(host, 0, 20, failed, 100.0));
+        fleet.run(5);
+    }
+    fleet.run(5 * silent_s);
+    fleet.trace.lines().filter(|line| line.contains("restore host1")).map(String::from).collect()
+}
+
+// Guards against cold hosts that are let in beside hosts that fail: where all tries failed, the fleet did not count as
+// overloaded (docs/incidents/cold-hosts-overloaded.md).
+#[test]
+fn a_fleet_where_all_tries_fail_counts_as_overloaded() {
+    let half_fail = restores_of_cold_host(10, 14, 0);
+    assert_eq!(restores_of_cold_host(20, 14, 0), half_fail);
+    assert_ne!(restores_of_cold_host(0, 14, 0), half_fail);
+}
+
+// Guards against cold hosts that are let in because no report arrives: while reports were late, the fleet did not count as
+// overloaded (docs/incidents/cold-hosts-overloaded.md).
+#[test]
+fn an_overloaded_fleet_counts_as_such_until_reports_say_otherwise() {
+    let all_reported = restores_of_cold_host(10, 14, 0);
+    assert_eq!(restores_of_cold_host(10, 2, 12), all_reported);
+}
+
 /// Guards against gating a restarted host for old failures: tries that were in progress when the host died are reported
 /// as failed seconds after its restart, and gated it again for eight seconds (the same recorded run).
 #[test]
