Gates leave two thirds of the warm hosts, however many cold ones stand beside them

Cause: at most a third of the listed weight may be gated, since the others must carry its load, but hosts that had just started counted among those others, also while withdrawn. With 18 of 30 hosts replaced a third of all was as many as were warm.

Change: a third of the warm weight; cold hosts count only where no host is warm.

Evidence: the new test fails before: four warm hosts are gated at once, and then all twelve are withdrawn, as cold hosts do not stay alone; now one is gated. Policy and emulator suites pass.

--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -135,10 +135,13 @@
             orders.push(self.overload_message(median_latency));
         }
         self.hold_tables_until = if few_connections { now + 10_000.0 } else { self.hold_tables_until };
-        // The remaining hosts must carry the load of the gated ones: at most a third of the fleet may be
-        // gated, not counting hosts that left the list.
+        // The remaining warm hosts must carry the load of the gated ones: at most a third of them may be gated,
+        // not counting hosts that left the list. Where no host is warm the cold ones count.
+        let is_warm = |host: &Host| host.is_warm(now, &self.warmup);
+        let has_warm_host = listed_hosts().any(is_warm);
+        let carriers = listed_hosts().filter(|host| !has_warm_host || is_warm(host));
         self.gateable_weight =
-            listed_hosts().map(|host| host.weight * if host.gate.closed { -0.66 } else { 0.34 }).sum();
+            carriers.map(|host| host.weight * if host.gate.closed { -0.66 } else { 0.34 }).sum();
         // At most one probe per four txns, but one per second for each host with a sign of trouble.
         let stated_rate = self.proxies.values().map(|proxy| proxy.demand.stated_rate).sum::<f64>().max(1.0);
         let regular_period = (4_000.0 * listed_hosts().count() as f64 / stated_rate)
--- a/crates/policy/tests/policy/traces.rs
+++ b/crates/policy/tests/policy/traces.rs
@@ -635,6 +635,26 @@
     .assert_eq(&fleet.trace);
 }
 
+// Guards against cold hosts that get the load of gated ones: after most hosts had restarted, a third of all hosts was as
+// many as were warm, and all of these were gated (docs/incidents/cold-hosts-overloaded.md).
+#[test]
+fn gates_leave_two_thirds_of_the_warm_hosts_beside_cold_ones() {
+    let mut fleet = Fleet::new(1, 12);
+    (0..4).for_each(|proxy| fleet.join(proxy));
+    let started = fleet.now - 8_000.0;
+    (4..12).for_each(|host| fleet.list_host(host, Availability::InService, Some(started)));
+    fleet.run(10);
+    fleet.catch_up(4);
+    fleet.trace.clear();
+    for _ in 0..6 {
+        (0..12).for_each(|host| fleet.host_report(host, 0, 10, if host < 4 { 8 } else { 0 }, 100.0));
+        fleet.run(5);
+        fleet.catch_up(4);
+    }
+    let gated = fleet.trace.lines().filter(|line| line.contains("withdraw host")).count();
+    assert_eq!(gated, 1, "{}", fleet.trace);
+}
+
 /// The times at which the host is restored while each report of the others says that so many of 20 tries failed. The last
 /// `silent_s` seconds bring no report.
 fn restores_of_cold_host(failed: u32, reported_s: u32, silent_s: u32) -> Vec<String> {
