Cold hosts stay out beside warm hosts that fail or are short, unless enough come together

Cause: a cold host was let in by its own capacity alone (0.3, or 0.55 in an overloaded fleet), on the assumption that it gets what its weight says. While warm hosts fail, proxies avoid them and send everything to the hosts that have just come in, whatever the weights are. Late reports showed the overload only when the hosts had failed.

Change: beside warm hosts that fail, or would get over 1.5 times the usual txns per weight, cold hosts come in only together with so many that these could take all txns (twice the usual demand) within the stated multiple; else once they are warm. Capacity per weight is not known, so it is measured by what the fleet usually serves. A log line names who is held back.

Tests: hosts_less_than_half_warm_stay_withdrawn_while_all_are_slow expected the host at 0.55, which is the fault; two tests replace it, each to the tick. Three more are new. The trace of a_cold_host_is_restored_after_the_warm_ones changes, as half of the hosts are away; what it showed of the order of replies has a test of its own. A bind comes one second earlier in a_table_with_one_cold_host_left.

--- a/crates/policy/src/hear.rs
+++ b/crates/policy/src/hear.rs
@@ -119,7 +119,7 @@
                 latency_factor: self.kind_factors.get(&kind).map_or(1.0, |factor| factor.0),
                 latency_factor_at: f64::MIN, reported_factor: 1.0, reports: BTreeMap::new(),
                 has_new_report: false, utilization: None, observed_load: None, probed_at: f64::MIN,
-                recovered_at: f64::MIN, restored_at: f64::MIN,
+                recovered_at: f64::MIN, restored_at: f64::MIN, held_back_until: f64::MIN,
             });
             (host.zone, host.standing, host.weight) = (zone, standing, weight);
             taken.reserve(zone, host.place);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,9 +8,11 @@
 
 mod bind_wait;
 mod binds;
+mod cold_admission;
 mod cold_tables;
 mod health;
 mod hear;
+mod host_set_monitor;
 mod levels;
 mod limits;
 mod parts;
@@ -19,11 +21,12 @@
 mod reply;
 mod seats;
 mod stall;
+mod usual_load;
 
 pub use parts::{OVERLOAD_RATIO_TO_MEDIAN, OVERLOAD_THRESHOLD};
 use {
-    bind_wait::*, cold_tables::*, health::*, levels::*, limits::*, parts::*, plan::*, reply::*, seats::*,
-    stall::*,
+    bind_wait::*, health::*, host_set_monitor::*, levels::*, limits::*, parts::*, plan::*, reply::*,
+    seats::*, stall::*, usual_load::*,
 };
 
 /// The controller: it receives all events and decides on the orders to the proxies.
@@ -47,7 +50,10 @@
     /// Withdrawals are delayed until the channel has room.
     withdrawals_delayed: bool,
     unbound_monitor: UnboundProxyMonitor,
-    cold_table_monitor: ColdTableMonitor,
+    cold_table_monitor: HostSetMonitor,
+    /// The cold hosts that the last plan held back.
+    hosts_held_back: BTreeSet<HostId>,
+    held_back_monitor: HostSetMonitor,
     hosts: BTreeMap<HostId, Host>,
     proxies: BTreeMap<ProxyId, Proxy>,
     /// Which zones may serve each request class.
@@ -63,6 +69,8 @@
     median_failed_fraction: f64,
     /// The best recent goodput per weight.
     best_goodput: f64,
+    /// What the fleet usually serves.
+    usual_load: UsualLoad,
     /// The state that proxies hold, as far as orders were sent.
     published: PublishedState,
     /// How much weight may still be gated: the remaining hosts must carry it.
@@ -130,8 +138,9 @@
             instance, classes, mean_latency_target, proxy_settings, warmup, report_settings, channel,
             list_settings, backlog: ChannelBacklog::default(), stall_detector: StallDetector::default(),
             withdrawals_delayed: false, unbound_monitor: UnboundProxyMonitor::default(), report_cover: 0.0,
-            cold_table_monitor: ColdTableMonitor::default(),
-            best_goodput: 0.0, gateable_weight: 0.0, list_failures: 0, list_request_at: f64::MIN,
+            cold_table_monitor: HostSetMonitor::default(), hosts_held_back: BTreeSet::new(),
+            held_back_monitor: HostSetMonitor::default(),
+            usual_load: UsualLoad::default(), best_goodput: 0.0, gateable_weight: 0.0, list_failures: 0, list_request_at: f64::MIN,
             spillover: BTreeMap::new(), reach_rules, published, first_decision: true, plan_soon: false,
             levels: BTreeMap::new(), kind_factors: BTreeMap::new(), hosts: BTreeMap::new(),
             proxies: BTreeMap::new(), median_failed_fraction: 0.0, service_bounds: BTreeMap::new(),
--- a/crates/policy/src/parts.rs
+++ b/crates/policy/src/parts.rs
@@ -11,8 +11,7 @@
 pub const LOAD_VALID_MS: f64 = 2_000.0;
 pub const MIN_LOAD_CONFIDENCE: f64 = 0.5;
 
-/// The capacity that a cold host must have to get half of its weight: enough for the additional traffic that
-/// overloaded proxies send to it.
+/// The capacity that a cold host must have to get half of its weight.
 pub const HALF_WEIGHT_CAPACITY: f64 = 0.55;
 
 /// The host list reports a restart one to three seconds after the host answered again; this is about twice
@@ -32,6 +31,8 @@
     /// When it answered again after it was gone (infinity: it is still gone), and when it was last restored.
     pub recovered_at: f64,
     pub restored_at: f64,
+    /// While it is cold it is not restored before this time: it was held back again.
+    pub held_back_until: f64,
     pub gate: Gate,
     /// Host reports, by the zone of the reporting proxies.
     pub reports: BTreeMap<ZoneId, SlidingWindow>,
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -9,12 +9,12 @@
     /// Hosts that may carry something, and which fraction of their listed weight.
     available: Vec<(HostId, f64)>,
     /// Every available host is gated.
-    all_gated: bool,
+    pub all_gated: bool,
     /// Reaches, by home zone, in which most of the weight of warm hosts is gated; never the reach of all
     /// hosts.
     short_reaches: BTreeSet<(ZoneId, Reach)>,
     /// Hosts that the plan withdraws.
-    withdrawn: BTreeSet<HostId>,
+    pub withdrawn: BTreeSet<HostId>,
     pub class_demands: BTreeMap<ZoneId, Vec<ClassDemand>>,
     pub entries: EntriesByReach,
     /// Zones with hosts that are still warming up.
@@ -24,7 +24,9 @@
 impl Controller {
     pub(crate) fn desired_state(&mut self, now: f64) -> DesiredState {
         let mut view = self.fleet_view(now);
+        self.update_usual_load(now, &view);
         view.withdrawn = self.hosts_to_withdraw(now, &view);
+        self.note_hosts_held_back(now, &view);
         self.balance_zones(now, &view);
         view.entries = self.table_entries(&view);
         let trees = self.reach_rules.trees();
@@ -62,23 +64,25 @@
         view
     }
 
-    fn available<'a>(&'a self, view: &'a FleetView) -> impl Iterator<Item = (HostId, &'a Host, f64)> {
+    pub(crate) fn available<'a>(
+        &'a self,
+        view: &'a FleetView,
+    ) -> impl Iterator<Item = (HostId, &'a Host, f64)> {
         view.available.iter().map(|(id, fraction)| (*id, &self.hosts[id], *fraction))
     }
 
     /// If every host is gated, gates are ignored. The same holds within a reach that is short of hosts, where
-    /// a request class must not leave it. Cold hosts are not restored there, nor while tries fail in the
-    /// whole fleet: they would get all traffic.
+    /// a request class must not leave it. Cold hosts are not restored there: they would get all traffic.
     fn hosts_to_withdraw(&self, now: f64, view: &FleetView) -> BTreeSet<HostId> {
         let is_used =
             |(home, reach): &&(ZoneId, Reach)| self.reach_rules.classes_by_reach(*home).contains_key(reach);
         let binding: Vec<&(ZoneId, Reach)> = view.short_reaches.iter().filter(is_used).collect();
-        let in_service = |(_, host, _): &(HostId, &Host, f64)| {
+        let admissible = self.admissible_cold_hosts(now, view);
+        let in_service = |(id, host, _): &(HostId, &Host, f64)| {
             let short = view.short_reaches.contains(&(host.zone, Reach::HomeZone));
             let must_stay = || binding.iter().any(|(home, reach)| reach.contains(*home, host.zone));
             let gated = host.gate.closed && !view.all_gated && !must_stay();
-            let may_serve = !self.overloaded || host.capacity(now, &self.warmup) >= HALF_WEIGHT_CAPACITY;
-            !gated && (!short && may_serve || host.is_warm(now, &self.warmup))
+            !gated && (!short && admissible.contains(id) || host.is_warm(now, &self.warmup))
         };
         let in_service: BTreeSet<HostId> =
             self.available(view).filter(in_service).map(|available| available.0).collect();
--- a/crates/policy/src/publish.rs
+++ b/crates/policy/src/publish.rs
@@ -30,6 +30,7 @@
         let log = self.unbound_monitor.check(now, &unbound_proxies, backlog_lines);
         orders.extend(log.map(|text| Order::Log { text }));
         self.log_cold_tables(now, orders);
+        self.log_hosts_held_back(now, orders);
         let restored = self.hosts.iter_mut().filter(|(id, _)| restored.contains(id));
         restored.for_each(|(_, host)| host.restored_at = now);
         self.hosts.retain(|id, _| !gone.contains(id));
