The usual demand follows proxies that join or leave, also where it was never seen

What callers would see: after a kill of another controller its proxies join here, their demand counted as growth, and cold hosts were held back until they were warm. A controller that starts while all hosts are cold took the first proxies' demand for the usual one and let no host in for the whole warm-up.

Change: it is kept per rate that proxies state when they join; where the usual state was never seen the present demand counts.

Evidence: two tests. No drill was run on it yet.

--- a/crates/policy/src/usual_load.rs
+++ b/crates/policy/src/usual_load.rs
@@ -7,27 +7,30 @@
 /// The demand counts as usual while this fraction of the listed weight is warm.
 const USUAL_WARM_FRACTION: f64 = 0.9;
 
-/// The demand and the weight of the fleet from before hosts were replaced.
+/// The demand and the weight of the fleet from before hosts were replaced. The demand is kept relative to the rates that
+/// proxies state when they join, so that it follows proxies that join or leave meanwhile.
 #[derive(Default)]
 pub struct UsualLoad {
-    /// Txns per second that arrive at the proxies of each zone.
-    demands: BTreeMap<ZoneId, f64>,
+    /// Txns per second that arrive at the joined proxies.
+    demand: f64,
+    /// The same per listed weight of the zones that have proxies.
+    rate: f64,
+    /// The usual demand per stated rate; none: the fleet was never seen in its usual state.
+    demand_per_stated_rate: Option<f64>,
     /// The largest listed weight of each zone of late.
     weights: BTreeMap<ZoneId, f64>,
     updated_at: f64,
 }
 
 impl UsualLoad {
-    /// Txns per second that arrive at all proxies.
+    /// Txns per second that arrive at the joined proxies.
     pub fn demand(&self) -> f64 {
-        self.demands.values().sum()
+        self.demand
     }
 
-    /// Txns per second and weight, in the zones that have proxies of this controller.
+    /// Txns per second and weight.
     pub fn rate(&self) -> f64 {
-        let has_demand = |zone: &ZoneId| self.demands.get(zone).is_some_and(|demand| *demand > 0.0);
-        let weights = self.weights.iter().filter(|(zone, _)| has_demand(zone));
-        self.demand() / weights.map(|(_, weight)| weight).sum::<f64>().max(1e-9)
+        self.rate
     }
 
     fn update_weights(&mut self, now: f64, listed: BTreeMap<ZoneId, f64>) {
@@ -40,6 +43,17 @@
             *largest = largest.max(weight);
         }
     }
+
+    fn update_demand(&mut self, present: &BTreeMap<ZoneId, f64>, stated_rate: f64, is_usual: bool) {
+        let present_per_stated_rate = present.values().sum::<f64>() / stated_rate.max(1e-9);
+        if is_usual && stated_rate > 0.0 {
+            self.demand_per_stated_rate = Some(present_per_stated_rate);
+        }
+        self.demand = self.demand_per_stated_rate.unwrap_or(present_per_stated_rate) * stated_rate;
+        let has_demand = |zone: &ZoneId| present.get(zone).is_some_and(|demand| *demand > 0.0);
+        let weights = self.weights.iter().filter(|(zone, _)| has_demand(zone));
+        self.rate = self.demand / weights.map(|(_, weight)| weight).sum::<f64>().max(1e-9);
+    }
 }
 
 impl Controller {
@@ -53,12 +67,11 @@
             }
         }
         let is_usual = !self.overloaded && warm >= USUAL_WARM_FRACTION * listed.values().sum::<f64>();
+        let demand = |class_demands: &Vec<ClassDemand>| class_demands.iter().map(|class| class.total).sum();
+        let present: BTreeMap<ZoneId, f64> =
+            view.class_demands.iter().map(|(zone, class_demands)| (*zone, demand(class_demands))).collect();
+        let stated_rate = self.proxies.values().map(|proxy| proxy.demand.stated_rate).sum();
         self.usual_load.update_weights(now, listed);
-        if is_usual || self.usual_load.demand() <= 0.0 {
-            let demand =
-                |class_demands: &Vec<ClassDemand>| class_demands.iter().map(|class| class.total).sum();
-            self.usual_load.demands =
-                view.class_demands.iter().map(|(zone, demands)| (*zone, demand(demands))).collect();
-        }
+        self.usual_load.update_demand(&present, stated_rate, is_usual);
     }
 }
--- a/crates/policy/tests/policy/traces.rs
+++ b/crates/policy/tests/policy/traces.rs
@@ -707,6 +707,45 @@
     .assert_eq(&lines.collect::<Vec<_>>().join("\n"));
 }
 
+// Guards against hosts that are held back for no reason: proxies that come from another controller bring demand that the
+// hosts have served all along (docs/incidents/cold-hosts-overloaded.md).
+#[test]
+fn proxies_of_another_controller_that_join_hold_back_no_cold_host() {
+    let mut fleet = Fleet::new(1, 8);
+    (0..4).for_each(|proxy| fleet.join(proxy));
+    fleet.catch_up(4);
+    let started = fleet.now;
+    fleet.list_host(0, Availability::InService, Some(started));
+    fleet.join_all(&[(4, false), (5, false), (6, false), (7, false)]);
+    fleet.trace.clear();
+    for _ in 0..4 {
+        fleet.catch_up(8);
+        fleet.run(5);
+    }
+    let restores: Vec<&str> = fleet.trace.lines().filter(|line| line.contains("restore")).collect();
+    expect![[r#"["3600 restore host0"]"#]].assert_eq(&format!("{restores:?}"));
+}
+
+// Guards against a fleet that serves nothing after a restart of all its hosts: a new controller took the demand of the first
+// proxies for the usual one and held all hosts back (docs/incidents/cold-hosts-overloaded.md).
+#[test]
+fn a_fleet_that_restarts_whole_is_served_though_its_proxies_join_one_by_one() {
+    let mut fleet = Fleet::new(1, 4);
+    let started = fleet.now;
+    (0..4).for_each(|host| fleet.list_host(host, Availability::InService, Some(started)));
+    for proxy in 0..8 {
+        fleet.join(proxy);
+        fleet.catch_up(proxy + 1);
+        fleet.run(1);
+    }
+    for _ in 0..4 {
+        fleet.catch_up(8);
+        fleet.run(5);
+    }
+    let restores: Vec<&str> = fleet.trace.lines().filter(|line| line.contains("restore")).collect();
+    expect![[r#"["4400 restore host0", "4400 restore host1", "4400 restore host2", "4400 restore host3"]"#]].assert_eq(&format!("{restores:?}"));
+}
+
 // Guards against a cold host that gets all txns of a class that stays in its zone: the first of a lost zone came in alone
 // (docs/incidents/cold-hosts-overloaded.md).
 #[test]
