--- a/crates/policy/tests/policy/traces.rs
+++ b/crates/policy/tests/policy/traces.rs
@@ -743,7 +743,8 @@
         fleet.run(5);
     }
     let restores: Vec<&str> = fleet.trace.lines().filter(|line| line.contains("restore")).collect();
-    expect![[r#"["4400 restore host0", "4400 restore host1", "4400 restore host2", "4400 restore host3"]"#]].assert_eq(&format!("{restores:?}"));
+    expect![[r#"["4400 restore host0", "4400 restore host1", "4400 restore host2", "4400 restore host3"]"#]]
+        .assert_eq(&format!("{restores:?}"));
 }
 
 // Guards against a cold host that gets all txns of a class that stays in its zone: the first of a lost zone came in alone
--- a/crates/rig/src/drill/rolling.rs
+++ b/crates/rig/src/drill/rolling.rs
@@ -6,10 +6,11 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::drawn::CALM;
-use super::{DrillPlan, HostRestart, ListChange, Pick, RequestLoad, Settings};
+use super::{Action, DrillPlan, HostRestart, ListChange, Pick, RequestLoad, Scheduled, Settings};
 
 /// Separates this random stream from that of the drill itself.
 const ROLLING: u64 = 0x0110;
+const ROLLING_WITH_RESTART: u64 = 0x0111;
 /// Time from the drain of a host to its end, both as listed, ms.
 const DRAINS_FOR: std::ops::Range<u64> = 6_800..7_400;
 /// How long the process of a host is down, ms.
@@ -29,6 +30,8 @@
 const TRY_TIMEOUT: std::ops::Range<f64> = 1_000.0..2_500.0;
 /// Time that the drill runs after the last start, ms.
 const AFTER: u64 = 11_000;
+/// How long the controller process is down, ms.
+const CONTROLLER_DOWN_FOR: u64 = 460;
 
 impl DrillPlan {
     /// Replaces hosts of this deployment in steps; the seed draws which ones and when.
@@ -68,4 +71,16 @@
         let requests = Some(requests);
         DrillPlan { host_restarts: restarts, requests, ..DrillPlan::calm(settings, changes, lasts) }
     }
+
+    /// The same with a restart of the controller while hosts are being replaced: the new process knows nothing of the load
+    /// from before.
+    pub fn rolling_with_restart(settings: Settings) -> DrillPlan {
+        let mut chance = ChaCha8Rng::seed_from_u64(settings.seed ^ ROLLING_WITH_RESTART);
+        let plan = DrillPlan::rolling(settings);
+        let starts = || plan.host_restarts.iter().map(|restart| restart.up);
+        let (first, last) = (starts().min().unwrap_or(CALM), starts().max().unwrap_or(CALM));
+        let at = chance.random_range(first - DRAINS_FOR.end..=last);
+        let action = Action::Restart { second_term: None, pause: CONTROLLER_DOWN_FOR };
+        DrillPlan { actions: vec![Scheduled { at, action }], ..plan }
+    }
 }
